--- /dev/null
+++ b/libs/core/findings.cc
@@ -0,0 +1,29 @@
+#include "core/findings.h"
+
+namespace cicadaward {
+
+void Findings::add(Place place, std::string message) { m_findings.push_back({ std::move(place), std::move(message) }); }
+
+std::string Findings::report() const
+{
+    std::string text;
+    for (const Finding& finding : m_findings) {
+        text += finding.place.source;
+        if (finding.place.line > 0)
+            text += ":" + std::to_string(finding.place.line);
+        text += ": ";
+        if (!finding.place.key.empty())
+            text += finding.place.key + ": ";
+        text += finding.message + "\n";
+    }
+    return text;
+}
+
+absl::Status Findings::status() const
+{
+    if (m_findings.empty())
+        return absl::OkStatus();
+    return absl::InvalidArgumentError(report());
+}
+
+} // namespace cicadaward
