Add packet views, the tunnel codec and the directory

Cause: entries and agents must agree on flow keys, bucket owners and the manifest. Change: libs/packet reads IPv4, TCP and UDP headers without allocation; libs/directory holds the manifest reader, the MessagePack codec and the rendezvous bucket table.

--- /dev/null
+++ b/libs/directory/codec.h
@@ -0,0 +1,128 @@
+// MessagePack adaptors for ids and directory types, and the two calls that every message of the system uses:
+//
+//     std::string bytes = encodeMessage(announcement);
+//     Announcement announcement;
+//     if (!decodeMessage(bytes, announcement))
+//         count(EventId::MessageDamaged);
+//
+// A message struct lists its fields with MSGPACK_DEFINE_ARRAY. Fields are only ever added at the end.
+#pragma once
+
+#include "directory/directory.h"
+
+#include <msgpack.hpp>
+#include <string>
+
+MSGPACK_ADD_ENUM(cicadaward::MemberRole)
+MSGPACK_ADD_ENUM(cicadaward::MemberState)
+MSGPACK_ADD_ENUM(cicadaward::PortMode)
+MSGPACK_ADD_ENUM(cicadaward::Protocol)
+
+namespace cicadaward::detail {
+
+// Bounds on what a decoder builds from untrusted bytes.
+inline msgpack::unpack_limit decodeLimit()
+{
+    constexpr size_t most = 1 << 22;
+    return msgpack::unpack_limit(most, most, most, most, most, 32);
+}
+
+} // namespace cicadaward::detail
+
+namespace msgpack {
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
+{
+    namespace adaptor {
+
+        template <typename Tag, typename Value> struct convert<cicadaward::Id<Tag, Value>> {
+            const msgpack::object& operator()(const msgpack::object& o, cicadaward::Id<Tag, Value>& id) const
+            {
+                id = cicadaward::Id<Tag, Value>(o.as<Value>());
+                return o;
+            }
+        };
+        template <typename Tag, typename Value> struct pack<cicadaward::Id<Tag, Value>> {
+            template <typename Stream>
+            msgpack::packer<Stream>& operator()(
+                msgpack::packer<Stream>& out, const cicadaward::Id<Tag, Value>& id) const
+            {
+                return out.pack(id.value());
+            }
+        };
+
+// Packs the named fields of a struct as an array, in this order.
+#define CICADAWARD_CODEC(TYPE, COUNT, ...)                                                                             \
+    template <> struct convert<TYPE> {                                                                                 \
+        const msgpack::object& operator()(const msgpack::object& o, TYPE& v) const                                     \
+        {                                                                                                              \
+            if (o.type != msgpack::type::ARRAY || o.via.array.size < (COUNT))                                          \
+                throw msgpack::type_error();                                                                           \
+            unpackFields(o, __VA_ARGS__);                                                                              \
+            return o;                                                                                                  \
+        }                                                                                                              \
+        template <typename... Fields> static void unpackFields(const msgpack::object& o, Fields&... fields)            \
+        {                                                                                                              \
+            size_t i = 0;                                                                                              \
+            ((fields = o.via.array.ptr[i++].as<Fields>()), ...);                                                       \
+        }                                                                                                              \
+    };                                                                                                                 \
+    template <> struct pack<TYPE> {                                                                                    \
+        template <typename Stream>                                                                                     \
+        msgpack::packer<Stream>& operator()(msgpack::packer<Stream>& out, const TYPE& v) const                         \
+        {                                                                                                              \
+            out.pack_array(COUNT);                                                                                     \
+            packFields(out, __VA_ARGS__);                                                                              \
+            return out;                                                                                                \
+        }                                                                                                              \
+        template <typename Stream, typename... Fields>                                                                 \
+        static void packFields(msgpack::packer<Stream>& out, const Fields&... fields)                                  \
+        {                                                                                                              \
+            (out.pack(fields), ...);                                                                                   \
+        }                                                                                                              \
+    };
+
+        CICADAWARD_CODEC(cicadaward::DirectoryVersion, 2, v.term, v.sequence)
+        CICADAWARD_CODEC(cicadaward::Endpoint, 2, v.address, v.port)
+        CICADAWARD_CODEC(
+            cicadaward::FlowKey, 5, v.sourceAddress, v.destinationAddress, v.sourcePort, v.destinationPort, v.protocol)
+        CICADAWARD_CODEC(cicadaward::PortSpec, 3, v.port, v.protocol, v.mode)
+        CICADAWARD_CODEC(cicadaward::ServiceSpec, 7, v.name, v.address, v.ports, v.buckets, v.slotsPerTarget,
+            v.flowsPerTarget, v.coldShare)
+        CICADAWARD_CODEC(cicadaward::Service, 2, v.id, v.spec)
+        CICADAWARD_CODEC(cicadaward::DataCentre, 3, v.id, v.name, v.out)
+        CICADAWARD_CODEC(cicadaward::Member, 10, v.id, v.name, v.role, v.state, v.service, v.dataCentre, v.tunnel,
+            v.capacity, v.process, v.target)
+        CICADAWARD_CODEC(cicadaward::Directory, 6, v.version, v.manifestEpoch, v.manifestVersion, v.dataCentres,
+            v.services, v.members)
+
+    } // namespace adaptor
+} // MSGPACK_API_VERSION_NAMESPACE
+} // namespace msgpack
+
+namespace cicadaward {
+
+template <typename T> std::string encodeMessage(const T& message)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, message);
+    return std::string(buffer.data(), buffer.size());
+}
+
+// Returns false when the bytes are not exactly one message of this type. msgpack reports damage by exceptions; they end
+// here.
+template <typename T> bool decodeMessage(const std::string& bytes, T& message)
+{
+    try {
+        size_t offset = 0;
+        msgpack::object_handle handle
+            = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, detail::decodeLimit());
+        if (offset != bytes.size())
+            return false;
+        handle.get().convert(message);
+        return true;
+    } catch (const std::exception&) {
+        return false;
+    }
+}
+
+} // namespace cicadaward
--- /dev/null
+++ b/libs/packet/tunnel.cc
@@ -0,0 +1,75 @@
+#include "packet/tunnel.h"
+
+#include <boost/endian/conversion.hpp>
+
+namespace cicadaward {
+
+namespace detail {
+
+    constexpr uint8_t tunnelFormat = 1;
+
+    template <typename T> uint8_t* store(uint8_t* out, T value)
+    {
+        boost::endian::native_to_big_inplace(value);
+        std::memcpy(out, &value, sizeof(value));
+        return out + sizeof(value);
+    }
+
+    template <typename T> const uint8_t* load(const uint8_t* in, T& value)
+    {
+        std::memcpy(&value, in, sizeof(value));
+        boost::endian::big_to_native_inplace(value);
+        return in + sizeof(value);
+    }
+
+} // namespace detail
+
+size_t encodeTunnel(const TunnelHeader& header, const uint8_t* payload, size_t payloadSize, uint8_t* out)
+{
+    std::memmove(out + tunnelHeaderSize, payload, payloadSize);
+    out = detail::store(out, static_cast<uint8_t>(detail::tunnelFormat << 4 | static_cast<uint8_t>(header.kind)));
+    out = detail::store(out, header.hops);
+    out = detail::store(out, header.bucket.value());
+    out = detail::store(out, header.service.value());
+    out = detail::store(out, header.version.term.value());
+    out = detail::store(out, header.version.sequence);
+    out = detail::store(out, header.sender.value());
+    out = detail::store(out, header.targetIncarnation.value());
+    out = detail::store(out, header.dataCentre.value());
+    detail::store(out, uint16_t { 0 });
+    return tunnelHeaderSize + payloadSize;
+}
+
+bool decodeTunnel(const uint8_t* data, size_t size, TunnelHeader& header)
+{
+    if (size < tunnelHeaderSize || data[0] >> 4 != detail::tunnelFormat)
+        return false;
+    uint8_t kind = data[0] & 0x0f;
+    if (kind < static_cast<uint8_t>(TunnelKind::ToOwner) || kind > static_cast<uint8_t>(TunnelKind::PeerMessage))
+        return false;
+    header.kind = static_cast<TunnelKind>(kind);
+    header.hops = data[1];
+    const uint8_t* in = data + 2;
+    uint16_t bucket;
+    uint32_t service;
+    uint64_t term;
+    uint64_t sender;
+    uint64_t incarnation;
+    uint16_t dataCentre;
+    in = detail::load(in, bucket);
+    in = detail::load(in, service);
+    in = detail::load(in, term);
+    in = detail::load(in, header.version.sequence);
+    in = detail::load(in, sender);
+    in = detail::load(in, incarnation);
+    detail::load(in, dataCentre);
+    header.bucket = BucketId(bucket);
+    header.service = ServiceId(service);
+    header.version.term = Term(term);
+    header.sender = MemberId(sender);
+    header.targetIncarnation = Incarnation(incarnation);
+    header.dataCentre = DataCentreId(dataCentre);
+    return true;
+}
+
+} // namespace cicadaward
