--- /dev/null
+++ b/libs/net/http_client.cc
@@ -0,0 +1,188 @@
+// A kept connection may have been closed by the server in the meantime. A call that fails on it before any answer byte
+// counts as Broken although the server has probably not seen it, because that cannot be known; to make this rare, the
+// most recently used connection is taken first and one that the server has closed is noticed before it is used.
+
+#include "net/http_client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+
+namespace cicadaward {
+
+namespace detail {
+
+    namespace http = boost::beast::http;
+
+    // True when the peer has closed or has sent bytes that no call asked for.
+    bool isStale(boost::asio::ip::tcp::socket& socket)
+    {
+        char byte;
+        boost::system::error_code error;
+        socket.non_blocking(true, error);
+        socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, error);
+        return error != boost::asio::error::would_block;
+    }
+
+} // namespace detail
+
+class HttpClient::Connection : public std::enable_shared_from_this<HttpClient::Connection> {
+public:
+    Connection(HttpClient& owner, size_t maxBody)
+        : m_owner(&owner)
+        , m_stream(owner.m_context)
+        , m_maxBody(maxBody)
+    {
+    }
+
+    bool isUsable() { return m_connected && !detail::isStale(m_stream.socket()); }
+
+    void start(uint64_t call, HttpClientRequest request, Duration timeout, Handler handler)
+    {
+        m_call = call;
+        m_handler = std::move(handler);
+        m_request = std::move(request);
+        m_request.keep_alive(true);
+        m_parser.emplace();
+        m_parser->body_limit(m_maxBody);
+        m_stream.expires_after(timeout);
+        if (m_connected) {
+            write();
+            return;
+        }
+        boost::asio::ip::tcp::endpoint server(
+            boost::asio::ip::address_v4(m_owner->m_server.address), m_owner->m_server.port);
+        m_stream.async_connect(server, [self = shared_from_this()](boost::system::error_code error) {
+            if (error) {
+                self->fail(error, true);
+                return;
+            }
+            self->m_connected = true;
+            self->m_stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), error);
+            self->write();
+        });
+    }
+
+    // No handler is called afterwards.
+    void drop()
+    {
+        m_owner = nullptr;
+        m_handler = nullptr;
+        m_stream.close();
+    }
+
+private:
+    void write()
+    {
+        detail::http::async_write(
+            m_stream, m_request, [self = shared_from_this()](boost::system::error_code error, size_t written) {
+                if (error)
+                    self->fail(error, written == 0);
+                else
+                    self->read();
+            });
+    }
+
+    void read()
+    {
+        detail::http::async_read(
+            m_stream, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code error, size_t) {
+                if (error)
+                    self->fail(error, false);
+                else
+                    self->succeed();
+            });
+    }
+
+    void succeed()
+    {
+        if (!m_owner)
+            return;
+        bool reusable = m_parser->get().keep_alive();
+        m_stream.expires_never();
+        finish(m_parser->release(), reusable);
+    }
+
+    void fail(boost::system::error_code error, bool nothingSent)
+    {
+        if (!m_owner)
+            return;
+        m_connected = false;
+        HttpFailure failure = HttpFailure::Broken;
+        if (nothingSent)
+            failure = error == boost::asio::error::connection_refused ? HttpFailure::ConnectionRefused
+                                                                      : HttpFailure::NotConnected;
+        else if (error == boost::beast::error::timeout)
+            failure = HttpFailure::TimedOut;
+        m_stream.close();
+        finish(failure, false);
+    }
+
+    void finish(HttpResult result, bool reusable)
+    {
+        Handler handler = std::move(m_handler);
+        uint64_t call = m_call;
+        m_owner->finished(call, shared_from_this(), reusable);
+        handler(call, std::move(result));
+    }
+
+    HttpClient* m_owner;
+    boost::beast::tcp_stream m_stream;
+    size_t m_maxBody;
+    bool m_connected = false;
+    uint64_t m_call = 0;
+    Handler m_handler;
+    HttpClientRequest m_request;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<detail::http::response_parser<detail::http::string_body>> m_parser;
+};
+
+HttpClient::HttpClient(boost::asio::io_context& context, Endpoint server, size_t maxIdle, size_t maxBody)
+    : m_context(context)
+    , m_server(server)
+    , m_maxIdle(maxIdle)
+    , m_maxBody(maxBody)
+{
+}
+
+HttpClient::~HttpClient()
+{
+    for (auto& [call, connection] : m_calls)
+        connection->drop();
+    for (auto& connection : m_idle)
+        connection->drop();
+}
+
+void HttpClient::send(uint64_t call, HttpClientRequest request, Duration timeout, Handler handler)
+{
+    std::shared_ptr<Connection> connection;
+    while (!connection && !m_idle.empty()) {
+        connection = std::move(m_idle.back());
+        m_idle.pop_back();
+        if (!connection->isUsable()) {
+            connection->drop();
+            connection.reset();
+        }
+    }
+    if (!connection)
+        connection = std::make_shared<Connection>(*this, m_maxBody);
+    m_calls[call] = connection;
+    connection->start(call, std::move(request), timeout, std::move(handler));
+}
+
+void HttpClient::cancel(uint64_t call)
+{
+    auto found = m_calls.find(call);
+    if (found == m_calls.end())
+        return;
+    found->second->drop();
+    m_calls.erase(found);
+}
+
+void HttpClient::finished(uint64_t call, const std::shared_ptr<Connection>& connection, bool reusable)
+{
+    m_calls.erase(call);
+    if (reusable && m_idle.size() < m_maxIdle)
+        m_idle.push_back(connection);
+}
+
+} // namespace cicadaward
--- /dev/null
+++ b/tools/http_server.cc
@@ -0,0 +1,99 @@
+#include "http_server.h"
+
+#include <boost/beast/core.hpp>
+#include <memory>
+
+namespace cicadaward {
+
+namespace detail {
+
+    namespace http = boost::beast::http;
+
+    constexpr auto idleLimit = std::chrono::seconds(60);
+
+    class HttpSession : public std::enable_shared_from_this<HttpSession> {
+    public:
+        HttpSession(boost::asio::ip::tcp::socket&& socket, HttpHandler& handler)
+            : m_stream(std::move(socket))
+            , m_handler(handler)
+        {
+        }
+
+        void read()
+        {
+            m_request = {};
+            m_stream.expires_after(idleLimit);
+            http::async_read(
+                m_stream, m_buffer, m_request, [self = shared_from_this()](boost::system::error_code error, size_t) {
+                    if (!error)
+                        self->handle();
+                });
+        }
+
+    private:
+        void handle()
+        {
+            m_handler(
+                m_request, [self = shared_from_this()](unsigned status, const std::string& type, std::string body) {
+                    self->write(status, type, std::move(body));
+                });
+        }
+
+        void write(unsigned status, const std::string& contentType, std::string body)
+        {
+            m_response = {};
+            m_response.version(11);
+            m_response.result(status);
+            m_response.set(http::field::content_type, contentType);
+            m_response.body() = std::move(body);
+            m_response.keep_alive(m_request.keep_alive());
+            m_response.prepare_payload();
+            http::async_write(
+                m_stream, m_response, [self = shared_from_this()](boost::system::error_code error, size_t) {
+                    if (!error && self->m_response.keep_alive())
+                        self->read();
+                });
+        }
+
+        boost::beast::tcp_stream m_stream;
+        HttpHandler& m_handler;
+        boost::beast::flat_buffer m_buffer;
+        HttpRequest m_request;
+        http::response<http::string_body> m_response;
+    };
+
+} // namespace detail
+
+HttpServer::HttpServer(boost::asio::io_context& context, Endpoint listen, HttpHandler handler)
+    : m_acceptor(context)
+    , m_handler(std::move(handler))
+{
+    boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::address_v4(listen.address), listen.port);
+    boost::system::error_code error;
+    m_acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        m_acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+    if (!error)
+        m_acceptor.bind(endpoint, error);
+    if (!error)
+        m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (error) {
+        m_status = absl::UnavailableError(
+            "cannot listen on TCP port " + std::to_string(listen.port) + ": " + error.message());
+        return;
+    }
+    accept();
+}
+
+void HttpServer::accept()
+{
+    m_acceptor.async_accept([this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted)
+            return;
+        if (!error)
+            std::make_shared<detail::HttpSession>(std::move(socket), m_handler)->read();
+        accept();
+    });
+}
+
+} // namespace cicadaward
