Share the HTTP server and add the daemons' common parts

Cause: administration end points need the same small server as the stand-ins, with limits on size, time and connections.

--- /dev/null
+++ b/daemons/daemon.h
@@ -0,0 +1,85 @@
+// What all daemons share: the event log, keys, metrics, threads that run an event loop each, and the planned stop on
+// SIGTERM or SIGINT.
+//
+//     Duty packets("packets");
+//     packets.start();
+//     ...
+//     packets.stop(); // ends the loop and joins the thread
+#pragma once
+
+#include "auth/authenticator.h"
+#include "core/clock.h"
+#include "core/random.h"
+#include "directory/directory.h"
+#include "observe/event_log.h"
+#include "observe/metrics.h"
+#include "settings/settings.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace cicadaward {
+
+// One thread with one event loop. Objects that use the loop are created before start() or on the thread itself.
+class Duty {
+public:
+    explicit Duty(std::string name);
+    ~Duty();
+    Duty(const Duty&) = delete;
+    Duty& operator=(const Duty&) = delete;
+
+    boost::asio::io_context& context() { return m_context; }
+    void start();
+    void stop();
+
+    // Calls `action` on the thread at this interval until the loop ends. Before start().
+    void every(Duration interval, std::function<void()> action);
+
+private:
+    void schedule(boost::asio::steady_timer&, Duration, std::function<void()> action);
+
+    std::string m_name;
+    boost::asio::io_context m_context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    std::vector<std::unique_ptr<boost::asio::steady_timer>> m_timers;
+    std::thread m_thread;
+};
+
+// Everything that a daemon needs before its duties. create() reports all findings and events itself.
+struct DaemonBase {
+    DaemonBase(std::unique_ptr<EventLog> eventLog, KeyRing keyRing);
+
+    static std::unique_ptr<DaemonBase> create(const Settings&);
+
+    static const SystemClock& clock();
+
+    std::unique_ptr<EventLog> log;
+    KeySource keys;
+    MetricRegistry metrics;
+    Incarnation process; // milliseconds since 1970 at the start
+    uint64_t seed; // of the random sources, different in each process
+};
+
+Endpoint toEndpoint(const ConfiguredEndpoint&);
+
+// Runs until SIGTERM or SIGINT, then calls `stop` once; a second signal changes nothing. Returns when `done` was
+// called.
+class SignalWaiter {
+public:
+    SignalWaiter();
+    void run(const std::function<void()>& stop);
+    void done(); // from any thread
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::signal_set m_signals;
+    bool m_stopping = false;
+};
+
+} // namespace cicadaward
--- a/tools/http_server.cc
+++ b/libs/net/http_server.cc
@@ -1,4 +1,4 @@
-#include "http_server.h"
+#include "net/http_server.h"
 
 #include <boost/beast/core.hpp>
 #include <memory>
@@ -9,14 +9,37 @@
 
     namespace http = boost::beast::http;
 
+    constexpr auto transferLimit = std::chrono::seconds(10);
+    // Clients such as the agent's pool keep a connection between requests.
     constexpr auto idleLimit = std::chrono::seconds(60);
 
     class HttpSession : public std::enable_shared_from_this<HttpSession> {
     public:
-        HttpSession(boost::asio::ip::tcp::socket&& socket, HttpHandler& handler)
+        HttpSession(boost::asio::ip::tcp::socket&& socket, HttpHandler& handler, std::shared_ptr<size_t> sessions)
             : m_stream(std::move(socket))
             , m_handler(handler)
+            , m_sessions(std::move(sessions))
         {
+            ++*m_sessions;
+        }
+        ~HttpSession() { --*m_sessions; }
+        HttpSession(const HttpSession&) = delete;
+        HttpSession& operator=(const HttpSession&) = delete;
+
+        // Waits for the first byte with the idle limit, then for the rest with the transfer limit.
+        void waitForRequest()
+        {
+            if (m_buffer.size() > 0) {
+                read();
+                return;
+            }
+            m_stream.expires_after(idleLimit);
+            m_stream.async_read_some(
+                m_buffer.prepare(4096), [self = shared_from_this()](boost::system::error_code error, size_t size) {
+                    self->m_buffer.commit(size);
+                    if (!error)
+                        self->read();
+                });
         }
 
         void read()
@@ -33,6 +56,8 @@
     private:
         void handle()
         {
+            m_request = m_parser->release();
+            m_stream.expires_never();
             m_handler(
                 m_request, [self = shared_from_this()](unsigned status, const std::string& type, std::string body) {
                     self->write(status, type, std::move(body));
@@ -48,6 +73,7 @@
             m_response.body() = std::move(body);
             m_response.keep_alive(m_request.keep_alive());
             m_response.prepare_payload();
+            m_stream.expires_after(transferLimit);
             http::async_write(
                 m_stream, m_response, [self = shared_from_this()](boost::system::error_code error, size_t) {
                     if (!error && self->m_response.keep_alive())
@@ -58,8 +84,10 @@
         boost::beast::tcp_stream m_stream;
         HttpHandler& m_handler;
         boost::beast::flat_buffer m_buffer;
+        std::optional<http::request_parser<http::string_body>> m_parser;
         HttpRequest m_request;
         http::response<http::string_body> m_response;
+        std::shared_ptr<size_t> m_sessions;
     };
 
 } // namespace detail
@@ -90,8 +118,8 @@
     m_acceptor.async_accept([this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
         if (error == boost::asio::error::operation_aborted)
             return;
-        if (!error)
-            std::make_shared<detail::HttpSession>(std::move(socket), m_handler)->read();
+        if (!error && *m_sessions < maxHttpSessions)
+            std::make_shared<detail::HttpSession>(std::move(socket), m_handler, m_sessions)->waitForRequest();
         accept();
     });
 }
--- a/tools/http_server.h
+++ b/libs/net/http_server.h
@@ -1,8 +1,11 @@
-// Small asynchronous HTTP/1.1 server for the stand-ins, on Boost.Beast. The handler may answer later.
+// Small asynchronous HTTP/1.1 server on Boost.Beast. The handler may answer later, from the event loop's thread.
 //
 //     HttpServer server(context, { address, 9000 }, [](const HttpRequest& request, HttpReply reply) {
 //         reply(200, "text/plain", "hello\n");
 //     });
+//
+// Limits: 8 KiB of header, maxHttpBody of body, 10 s for a whole request and for writing an answer, maxHttpSessions
+// connections; beyond them the connection is closed. A slow client costs a connection and never a thread.
 #pragma once
 
 #include "directory/directory.h"
@@ -12,6 +15,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace cicadaward {
@@ -20,6 +24,9 @@
 using HttpReply = std::function<void(unsigned status, std::string contentType, std::string body)>;
 using HttpHandler = std::function<void(const HttpRequest&, HttpReply)>;
 
+constexpr size_t maxHttpBody = 2 << 20; // bytes; a manifest has at most 1 MiB
+constexpr size_t maxHttpSessions = 256;
+
 class HttpServer {
 public:
     HttpServer(boost::asio::io_context&, Endpoint listen, HttpHandler);
@@ -32,6 +39,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     HttpHandler m_handler;
     absl::Status m_status;
+    std::shared_ptr<size_t> m_sessions = std::make_shared<size_t>(0);
 };
 
 } // namespace cicadaward
--- a/tools/target.h
+++ b/tools/target.h
@@ -10,7 +10,7 @@
 
 #include "core/clock.h"
 #include "core/random.h"
-#include "http_server.h"
+#include "net/http_server.h"
 #include "net/udp_port.h"
 #include "packet/ip_packet.h"
 
