Add the keyed hash, key files and the replay window

Cause: datagrams and control messages between processes must be authenticated, with keys that can be rotated while all processes run. A purpose byte is hashed but not sent, so that a tunnel datagram is not accepted as a control message. Key files have one or two keys and are refused when others may access them.

--- /dev/null
+++ b/libs/auth/authenticator.h
@@ -0,0 +1,78 @@
+// Seals and opens messages between processes. A sealed message is the payload, followed by a trailer of 25 bytes: key
+// id (1), sequence (8, big endian) and SipHash-128 (16) over payload, key id, sequence and purpose.
+//
+//     Authenticator authenticator(keySource);
+//     size = authenticator.seal(buffer, size, MessagePurpose::Packet, sequence); // room for sealTrailerSize more bytes
+//     ...
+//     const OpenResult opened = authenticator.open(data, size, MessagePurpose::Packet);
+//     if (opened.status != OpenStatus::Valid)
+//         return drops.add(DropReason::NotAuthenticated);
+//     handle(data, opened.payloadSize);
+//
+// The purpose is hashed but not sent, so that a datagram of the tunnel is not accepted as a control message.
+// Packets in the tunnel need no replay window: a replayed packet is no worse than a duplicate made by the network.
+// Messages that change state are passed to a ReplayGuard after they were opened.
+#pragma once
+
+#include "auth/keys.h"
+
+#include <memory>
+
+namespace cicadaward {
+
+enum class MessagePurpose : uint8_t {
+    Packet = 1, // IP packet in the tunnel
+    PeerMessage = 2, // message between agents
+    ControlRequest = 3, // on a stream, to a control instance
+    ControlReply = 4, // on a stream, from a control instance
+};
+
+constexpr size_t sealTrailerSize = 25; // bytes
+
+enum class OpenStatus {
+    Valid,
+    TooShort,
+    UnknownKey,
+    WrongHash,
+};
+
+struct OpenResult {
+    OpenStatus status = OpenStatus::TooShort;
+    size_t payloadSize = 0; // bytes, without the trailer
+    uint8_t keyId = 0;
+    uint64_t sequence = 0;
+};
+
+// For use by one thread; each thread has its own on the same KeySource. Sealing and opening allocate nothing, except
+// for the first message after the keys were replaced.
+class Authenticator {
+public:
+    // `keys` must outlive the authenticator.
+    explicit Authenticator(const KeySource& keys);
+    ~Authenticator();
+    Authenticator(const Authenticator&) = delete;
+    Authenticator& operator=(const Authenticator&) = delete;
+
+    // Returns the new size, or 0 when there is no key.
+    size_t seal(uint8_t* buffer, size_t size, MessagePurpose purpose, uint64_t sequence);
+    // False when there is no key.
+    bool seal(std::string& message, MessagePurpose purpose, uint64_t sequence);
+
+    // Compares in constant time.
+    OpenResult open(const uint8_t* data, size_t size, MessagePurpose purpose);
+    // Removes the trailer when the result is Valid.
+    OpenResult open(std::string& message, MessagePurpose purpose);
+
+private:
+    struct Context;
+
+    void refreshKeys();
+    bool hash(const AuthKey& key, const uint8_t* data, size_t size, MessagePurpose purpose, uint8_t* out);
+
+    const KeySource& m_source;
+    uint64_t m_generation = 0;
+    KeyRing m_keys;
+    std::unique_ptr<Context> m_context;
+};
+
+} // namespace cicadaward
--- /dev/null
+++ b/libs/auth/keys.h
@@ -0,0 +1,65 @@
+// Pre-shared keys and their file. Each line is "id hex32": an id from 1 to 255 and 16 bytes in hexadecimal. Empty lines
+// and lines that start with '#' are ignored. The first key seals; every key of the file is accepted.
+//
+//     Findings findings;
+//     KeySource keys(loadKeys("/etc/cicadaward/keys", findings));
+//     ...
+//     KeyRing newer = loadKeys("/etc/cicadaward/keys", reloadFindings); // on reload
+//     if (reloadFindings.empty())
+//         keys.replace(newer); // every Authenticator uses the new keys from its next message on
+#pragma once
+
+#include "core/findings.h"
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace cicadaward {
+
+constexpr size_t keySize = 16; // bytes
+constexpr size_t maxKeys = 2; // the present one and, during a rotation, the next or the former one
+
+// The key bytes are overwritten when the object ends.
+struct AuthKey {
+    AuthKey() = default;
+    AuthKey(const AuthKey&) = default;
+    AuthKey& operator=(const AuthKey&) = default;
+    ~AuthKey();
+
+    uint8_t id = 0;
+    std::array<uint8_t, keySize> bytes {};
+};
+
+using KeyRing = std::vector<AuthKey>;
+
+// Parses the text of a key file. `source` names it in findings; findings never contain key bytes.
+KeyRing parseKeys(const std::string& source, const std::string& text, Findings& findings);
+
+// Reads at most 4 KiB. A file that its group may write or that others may access at all is a finding.
+KeyRing loadKeys(const std::string& path, Findings& findings);
+
+// The keys of the process, shared by all its threads.
+class KeySource {
+public:
+    explicit KeySource(KeyRing keys)
+        : m_keys(std::move(keys))
+    {
+    }
+
+    void replace(KeyRing keys);
+    KeyRing keys() const;
+
+    // Changes with each replacement; costs one atomic load.
+    uint64_t generation() const { return m_generation.load(std::memory_order_acquire); }
+
+private:
+    mutable std::mutex m_mutex;
+    KeyRing m_keys;
+    std::atomic<uint64_t> m_generation { 1 };
+};
+
+} // namespace cicadaward
