--- /dev/null
+++ b/libs/control/control_client.cc
@@ -0,0 +1,252 @@
+#include "control/control_client.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace cicadaward {
+
+namespace detail {
+
+    // Spreads the clients of a lost instance over some time, so that they do not all arrive in one millisecond.
+    constexpr Duration changeJitter = std::chrono::milliseconds(50);
+    constexpr Duration firstBackoff = std::chrono::milliseconds(200);
+    // After an empty answer, so that an instance that has nothing is not asked in a loop.
+    constexpr Duration emptyAnswerPause = std::chrono::milliseconds(100);
+
+} // namespace detail
+
+ControlClient::ControlClient(const Clock& clock, Random& random, ControlClientSettings settings)
+    : m_clock(clock)
+    , m_random(random)
+    , m_settings(std::move(settings))
+    , m_directory(std::make_shared<Directory>())
+    , m_order(std::max<size_t>(1, m_settings.instanceElsewhere.size()))
+{
+    m_settings.instanceElsewhere.resize(m_order.size());
+    std::iota(m_order.begin(), m_order.end(), 0);
+    for (size_t i = m_order.size(); i > 1; --i)
+        std::swap(m_order[i - 1], m_order[m_random.below(i)]);
+    Time now = m_clock.now();
+    m_behindSince = now;
+    m_retryAt = now;
+    m_nextAnnounce = now;
+    m_nextWatch = now;
+}
+
+ControlClientActions ControlClient::handle(const ControlClientEvent& event)
+{
+    m_actions.clear();
+    std::visit([this](const auto& typed) { on(typed); }, event);
+    updateContact();
+    return std::move(m_actions);
+}
+
+void ControlClient::on(const ClientTick&)
+{
+    Time now = m_clock.now();
+    bool announceLate = m_announce.sequence != 0 && now >= m_announce.deadline;
+    bool watchLate = m_watch.sequence != 0 && now >= m_watch.deadline;
+    if (announceLate || watchLate)
+        changeInstance(true);
+    else if (m_seen > m_directory->version && now - m_behindSince >= m_settings.stallLimit) {
+        m_behindSince = now;
+        changeInstance(false);
+    }
+    if (now < m_retryAt)
+        return;
+    if (m_announce.sequence == 0 && (m_announceNow || now >= m_nextAnnounce))
+        announce();
+    if (m_watch.sequence == 0 && now >= m_nextWatch)
+        watch(m_seen > m_directory->version ? Duration(0) : m_settings.watchTime);
+}
+
+void ControlClient::on(const AnnounceAnswered& event)
+{
+    heardInstance(event.instance);
+    noteSeen(event.reply.newest);
+    if (m_announce.sequence == 0 || event.reply.sequence != m_announce.sequence)
+        return;
+    Time sent = m_announce.sent;
+    m_announce = {};
+    if (event.reply.status == AnnounceStatus::NeedRecord) {
+        m_sendRecord = true;
+        m_announceNow = true;
+        return;
+    }
+    if (event.reply.status != AnnounceStatus::Accepted) {
+        m_sendRecord = true;
+        m_failures = 0;
+        m_actions.push_back(AnnouncementRefused { event.reply.status });
+        return;
+    }
+    if (!event.reply.backed) {
+        changeInstance(true);
+        return;
+    }
+    m_failures = 0;
+    m_backed = std::max(m_backed.value_or(sent), sent);
+    if (m_announcedRevision == m_settings.record.revision)
+        m_sendRecord = false;
+}
+
+void ControlClient::on(const WatchAnswered& event)
+{
+    heardInstance(event.instance);
+    noteSeen(event.reply.newest);
+    const WatchReply& reply = event.reply;
+    bool content = reply.delta || reply.snapshot;
+    if (reply.snapshot)
+        take(std::make_shared<const Directory>(*reply.snapshot));
+    else if (reply.delta) {
+        auto next = std::make_shared<Directory>(*m_directory);
+        if (applyDelta(*reply.delta, *next))
+            take(std::move(next));
+        else
+            ++m_refusedDirectories;
+    }
+    if (m_watch.sequence == 0 || reply.sequence != m_watch.sequence)
+        return;
+    m_watch = {};
+    m_nextWatch = m_clock.now() + (content ? Duration(0) : detail::emptyAnswerPause);
+    if (content && m_clock.now() >= m_retryAt)
+        watch(m_settings.watchTime); // acknowledges the version
+}
+
+void ControlClient::on(const InstanceFailed& event)
+{
+    if (event.instance == instance() && (m_announce.sequence != 0 || m_watch.sequence != 0))
+        changeInstance(true);
+}
+
+void ControlClient::on(const StateChanged& event)
+{
+    MemberRecord& record = m_settings.record;
+    if (record.state == event.state && record.target == event.target)
+        return;
+    record.state = event.state;
+    record.target = event.target;
+    ++record.revision;
+    m_sendRecord = true;
+    announce(); // replaces an announcement that is outstanding
+}
+
+void ControlClient::on(const Leaving&)
+{
+    if (m_settings.record.leaving)
+        return;
+    m_settings.record.leaving = true;
+    ++m_settings.record.revision;
+    m_sendRecord = true;
+    announce();
+}
+
+void ControlClient::on(const VersionSeen& event) { noteSeen(event.version); }
+
+void ControlClient::on(const OtherDataCentreHeard&) { m_elsewhereHeard = m_clock.now(); }
+
+void ControlClient::announce()
+{
+    Time now = m_clock.now();
+    Announcement announcement;
+    announcement.id = memberIdOf(m_settings.record.name);
+    announcement.process = m_settings.record.process;
+    announcement.revision = m_settings.record.revision;
+    announcement.sequence = ++m_sequence;
+    announcement.known = std::max(m_seen, m_directory->version);
+    announcement.knownEpoch = m_directory->manifestEpoch;
+    if (m_sendRecord)
+        announcement.record = m_settings.record;
+    m_announcedRevision = m_sendRecord ? m_settings.record.revision : 0;
+    m_announce = { m_sequence, now, now + m_settings.requestTimeout };
+    m_announceNow = false;
+    m_nextAnnounce = now + interval();
+    m_actions.push_back(SendAnnouncement { instance(), std::move(announcement) });
+}
+
+void ControlClient::watch(Duration wait)
+{
+    const MemberRecord& record = m_settings.record;
+    WatchRequest request;
+    request.member = memberIdOf(record.name);
+    request.sequence = ++m_sequence;
+    request.known = m_directory->version;
+    request.knownEpoch = m_directory->manifestEpoch;
+    request.role = record.role;
+    if (record.role == MemberRole::Agent) {
+        request.service = record.service;
+        if (const Service* service = m_directory->findService(record.service))
+            request.serviceId = service->id;
+    }
+    request.waitMs = static_cast<uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(wait).count());
+    Time now = m_clock.now();
+    m_watch = { m_sequence, now, now + wait + m_settings.requestTimeout };
+    m_actions.push_back(SendWatch { instance(), std::move(request) });
+}
+
+void ControlClient::changeInstance(bool failed)
+{
+    m_position = (m_position + 1) % m_order.size();
+    ++m_instanceChanges;
+    m_announce = {};
+    m_watch = {};
+    m_sendRecord = true;
+    m_announceNow = true;
+    Time now = m_clock.now();
+    m_nextWatch = now;
+    auto jitter = [&](Duration most) {
+        return Duration(static_cast<Duration::rep>(m_random.unit() * static_cast<double>(most.count())));
+    };
+    Duration delay = jitter(detail::changeJitter);
+    if (failed && ++m_failures >= m_order.size()) {
+        unsigned doublings = std::min<unsigned>(m_failures - static_cast<unsigned>(m_order.size()), 8);
+        Duration backoff = std::min<Duration>(detail::firstBackoff * (1 << doublings), m_settings.maxBackoff);
+        delay = backoff / 2 + jitter(backoff / 2);
+    }
+    m_retryAt = now + delay;
+}
+
+void ControlClient::noteSeen(DirectoryVersion version)
+{
+    if (version <= m_seen)
+        return;
+    if (m_seen <= m_directory->version)
+        m_behindSince = m_clock.now();
+    m_seen = version;
+}
+
+void ControlClient::take(std::shared_ptr<const Directory> directory)
+{
+    if (directory->version <= m_directory->version || directory->manifestEpoch < m_directory->manifestEpoch
+        || !isWellFormed(*directory)) {
+        ++m_refusedDirectories;
+        return;
+    }
+    m_directory = std::move(directory);
+    if (m_seen <= m_directory->version)
+        m_seen = m_directory->version;
+    else
+        m_behindSince = m_clock.now();
+    m_actions.push_back(DirectoryChanged { m_directory });
+}
+
+void ControlClient::heardInstance(size_t index)
+{
+    if (index < m_settings.instanceElsewhere.size() && m_settings.instanceElsewhere[index])
+        m_elsewhereHeard = m_clock.now();
+}
+
+void ControlClient::updateContact()
+{
+    Time now = m_clock.now();
+    Contact contact = Contact::Valid;
+    if (!m_backed || now - *m_backed >= lease()) {
+        bool elsewhere = m_elsewhereHeard && now - *m_elsewhereHeard < m_settings.isolationLimit;
+        contact = elsewhere ? Contact::LeaseExpired : Contact::Isolated;
+    }
+    if (contact == m_contact)
+        return;
+    m_contact = contact;
+    m_actions.push_back(ContactChanged { contact });
+}
+
+} // namespace cicadaward
--- /dev/null
+++ b/libs/control/control_client.h
@@ -0,0 +1,167 @@
+// The part of an entry or agent that talks to the control instances: it announces the process, watches the directory,
+// changes to another instance when one does not answer or has lost the leader, and says whether the process may act.
+//
+//     ControlClient client(clock, random, settings);
+//     for (ControlClientAction& action : client.handle(ClientTick {})) // every 50 ms
+//         std::visit(driver, action); // SendAnnouncement -> stream to instance, reply -> handle(AnnounceAnswered
+//         {...})
+//     if (client.contact() == Contact::Valid)
+//         placeNewFlows();
+//
+// One announcement and one watch are outstanding at any time; a reply whose sequence is not the outstanding one is
+// used only for its directory. Memory: the directory.
+#pragma once
+
+#include "control/messages.h"
+#include "core/clock.h"
+#include "core/random.h"
+
+#include <memory>
+
+namespace cicadaward {
+
+struct ControlClientSettings {
+    MemberRecord record; // name, role, service, data centre, tunnel, capacity, process, target, interval, first state
+    std::vector<bool> instanceElsewhere; // one for each control instance: true when it is in another data centre
+    Duration isolationLimit = std::chrono::seconds(5);
+    // An instance answers an announcement when the leader has answered its batch: up to 250 ms plus two round trips.
+    // Short, so that a process can try two dead instances within its lease of 3 s.
+    Duration requestTimeout = std::chrono::milliseconds(600);
+    Duration watchTime = std::chrono::seconds(10);
+    // A newer version seen in a packet may be on its way to this process for up to 1 s (see Relay).
+    Duration stallLimit = std::chrono::milliseconds(1500);
+    Duration maxBackoff = std::chrono::seconds(1);
+};
+
+// Section 3.5 of the design page.
+enum class Contact : uint8_t {
+    Valid, // a quorum-backed answer within the lease
+    LeaseExpired, // place and admit no new work; established flows continue
+    Isolated, // additionally no process of another data centre heard: stop forwarding
+};
+
+// Events.
+struct ClientTick { };
+struct AnnounceAnswered {
+    size_t instance = 0;
+    AnnounceReply reply;
+};
+struct WatchAnswered {
+    size_t instance = 0;
+    WatchReply reply;
+};
+// A connection or request failed before its timeout.
+struct InstanceFailed {
+    size_t instance = 0;
+};
+// The process's own state changed; it is announced at once.
+struct StateChanged {
+    MemberState state = MemberState::Warming;
+    Incarnation target;
+};
+// The process stops: it is announced as leaving, and removed.
+struct Leaving { };
+// A packet or a peer message carried this directory version.
+struct VersionSeen {
+    DirectoryVersion version;
+};
+// An authenticated message came from a process of another data centre.
+struct OtherDataCentreHeard { };
+
+using ControlClientEvent = std::variant<ClientTick, AnnounceAnswered, WatchAnswered, InstanceFailed, StateChanged,
+    Leaving, VersionSeen, OtherDataCentreHeard>;
+
+// Actions.
+struct SendAnnouncement {
+    size_t instance = 0;
+    Announcement announcement;
+};
+struct SendWatch {
+    size_t instance = 0;
+    WatchRequest request;
+};
+struct DirectoryChanged {
+    std::shared_ptr<const Directory> directory;
+};
+struct ContactChanged {
+    Contact contact = Contact::Isolated;
+};
+// The control leader refuses this process (OlderIncarnation, TableFull or Invalid).
+struct AnnouncementRefused {
+    AnnounceStatus status = AnnounceStatus::Invalid;
+};
+
+using ControlClientAction
+    = std::variant<SendAnnouncement, SendWatch, DirectoryChanged, ContactChanged, AnnouncementRefused>;
+using ControlClientActions = std::vector<ControlClientAction>;
+
+class ControlClient {
+public:
+    ControlClient(const Clock& clock, Random& random, ControlClientSettings settings);
+
+    ControlClientActions handle(const ControlClientEvent& event);
+
+    // Version (0, 0) before the first answer. An agent's directory holds only its own service and that one's members.
+    const std::shared_ptr<const Directory>& directory() const { return m_directory; }
+    Contact contact() const { return m_contact; }
+    size_t instance() const { return m_order[m_position]; }
+    uint64_t instanceChanges() const { return m_instanceChanges; }
+    // Directories refused because they were not newer or would lower the manifest epoch.
+    uint64_t refusedDirectories() const { return m_refusedDirectories; }
+
+private:
+    void on(const ClientTick&);
+    void on(const AnnounceAnswered&);
+    void on(const WatchAnswered&);
+    void on(const InstanceFailed&);
+    void on(const StateChanged&);
+    void on(const Leaving&);
+    void on(const VersionSeen&);
+    void on(const OtherDataCentreHeard&);
+
+    Duration interval() const { return std::chrono::milliseconds(m_settings.record.intervalMs); }
+    Duration lease() const { return 3 * interval(); }
+    void announce();
+    void watch(Duration wait);
+    void changeInstance(bool failed);
+    void noteSeen(DirectoryVersion version);
+    void take(std::shared_ptr<const Directory> directory);
+    void heardInstance(size_t instance);
+    void updateContact();
+
+    const Clock& m_clock;
+    Random& m_random;
+    ControlClientSettings m_settings;
+    ControlClientActions m_actions;
+
+    std::shared_ptr<const Directory> m_directory;
+    DirectoryVersion m_seen; // highest version heard of
+    Time m_behindSince; // when m_seen became newer than the directory
+
+    std::vector<size_t> m_order; // of the instances; shuffled, so that a dead one's clients spread over the others
+    size_t m_position = 0;
+    unsigned m_failures = 0; // in a row
+    Time m_retryAt; // nothing is sent before
+    uint64_t m_instanceChanges = 0;
+
+    uint64_t m_sequence = 0;
+    struct Outstanding {
+        uint64_t sequence = 0; // 0: none
+        Time sent;
+        Time deadline;
+    };
+    Outstanding m_announce;
+    Outstanding m_watch;
+    Time m_nextAnnounce;
+    Time m_nextWatch;
+    bool m_sendRecord = true;
+    bool m_announceNow = false;
+    uint64_t m_announcedRevision = 0; // of the record in the outstanding announcement; 0 without record
+
+    Contact m_contact = Contact::Isolated;
+    std::optional<Time> m_backed; // send time of the last announcement that a leader with a quorum has taken
+    std::optional<Time> m_elsewhereHeard;
+    uint64_t m_refusedDirectories = 0;
+};
+
+} // namespace cicadaward
--- /dev/null
+++ b/libs/control/control_instance.cc
@@ -0,0 +1,480 @@
+#include "control/control_instance.h"
+
+#include <algorithm>
+
+namespace cicadaward {
+
+namespace detail {
+
+    constexpr size_t maxRecordsPerBatch = 512; // about 60 KB; the rest follows in the next batch
+    constexpr size_t maxOlderRecords = 64;
+    constexpr size_t maxFindingsKept = 64;
+    constexpr size_t maxNames = 64;
+    constexpr size_t maxLocals = 8192;
+
+    void appendId(std::string& bytes, MemberId id)
+    {
+        for (int shift = 56; shift >= 0; shift -= 8)
+            bytes += static_cast<char>(id.value() >> shift);
+    }
+
+    std::vector<MemberId> readIds(const std::string& bytes)
+    {
+        std::vector<MemberId> ids;
+        for (size_t i = 0; i + 8 <= bytes.size(); i += 8) {
+            uint64_t value = 0;
+            for (size_t j = 0; j < 8; ++j)
+                value = value << 8 | static_cast<unsigned char>(bytes[i + j]);
+            ids.emplace_back(value);
+        }
+        return ids;
+    }
+
+    // News that must not wait for the next batch: the process takes no new work any more.
+    bool isUrgent(const MemberRecord& record)
+    {
+        return record.leaving || record.state == MemberState::Draining || record.state == MemberState::TargetDown;
+    }
+
+} // namespace detail
+
+ControlInstance::ControlInstance(const Clock& clock, Random& random, ControlInstanceSettings settings)
+    : m_clock(clock)
+    , m_random(random)
+    , m_settings(std::move(settings))
+    , m_membership(clock, m_settings.membership)
+    , m_publisher(clock, m_settings.publisher)
+    , m_relay(clock, m_settings.relay)
+    , m_lastBatch(clock.now())
+{
+}
+
+ControlActions ControlInstance::handle(const ControlEvent& event)
+{
+    m_actions.clear();
+    std::visit([this](const auto& typed) { on(typed); }, event);
+    if (m_flushNow)
+        flushBatch();
+    publish();
+    return std::move(m_actions);
+}
+
+// --- raft
+
+void ControlInstance::on(const EntryApplied& event)
+{
+    ManifestResult result = m_register.apply(event.index, event.command);
+    ManifestCommand command;
+    if (!decodeMessage(event.command, command))
+        return;
+    auto waiting = m_waiting.find(command.token);
+    if (waiting == m_waiting.end())
+        return;
+    answer(waiting->second.request, std::move(result));
+    m_waiting.erase(waiting);
+}
+
+void ControlInstance::on(const SnapshotInstalled& event)
+{
+    if (!m_register.restore(event.snapshot))
+        m_actions.push_back(ReportFinding { "the snapshot of the manifest register is damaged" });
+}
+
+void ControlInstance::on(const LeadershipGained& event)
+{
+    followLeader(event.term, m_settings.id);
+    m_membership.reset();
+    m_publisher.leadershipGained(event.term);
+    m_publisher.versionSeen(
+        std::max(m_seen, m_relay.current()->version), std::max(m_seenEpoch, m_relay.current()->manifestEpoch));
+}
+
+void ControlInstance::on(const LeaderChanged& event)
+{
+    if (event.term < m_term)
+        return;
+    if (isLeader()) {
+        m_publisher.leadershipLost();
+        m_membership.reset();
+    }
+    followLeader(event.term, event.leader);
+}
+
+void ControlInstance::on(const QuorumHeard& event) { m_publisher.quorumHeard(event.at); }
+
+void ControlInstance::followLeader(Term term, ControlInstanceId leader)
+{
+    m_term = term;
+    m_leader = leader;
+    for (auto& [id, local] : m_locals) {
+        local.confirmed = false;
+        local.sentIn = 0;
+        local.requestBatch = 0;
+    }
+}
+
+// --- announcements
+
+void ControlInstance::on(const AnnounceReceived& event)
+{
+    const Announcement& announcement = event.announcement;
+    m_seen = std::max(m_seen, announcement.known);
+    m_seenEpoch = std::max(m_seenEpoch, announcement.knownEpoch);
+    if (isLeader())
+        m_publisher.versionSeen(m_seen, m_seenEpoch);
+    AnnounceStatus status = takeAnnouncement(announcement);
+    if (status != AnnounceStatus::Accepted || (!isLeader() && m_leader == ControlInstanceId())) {
+        answerAnnouncement(event.request, announcement.sequence, status, false);
+        return;
+    }
+    auto found = m_locals.find(announcement.id);
+    if (isLeader()) {
+        bool known = takeAtLeader(announcement.id, found->second.record, announcement.record.has_value(), status);
+        m_membership.acknowledge(announcement.id, announcement.knownEpoch);
+        answerAnnouncement(event.request, announcement.sequence, status, known && m_publisher.hasQuorum());
+        return;
+    }
+    Local& local = found->second;
+    if (local.request)
+        answerAnnouncement(*local.request, local.requestSequence, AnnounceStatus::Accepted, false);
+    local.request = event.request;
+    local.requestSequence = announcement.sequence;
+    local.requestBatch = 0;
+}
+
+AnnounceStatus ControlInstance::takeAnnouncement(const Announcement& announcement)
+{
+    auto found = m_locals.find(announcement.id);
+    if (!announcement.record) {
+        if (found == m_locals.end() || found->second.record.process != announcement.process
+            || found->second.record.revision != announcement.revision)
+            return AnnounceStatus::NeedRecord;
+        found->second.heard = m_clock.now();
+        return AnnounceStatus::Accepted;
+    }
+    const MemberRecord& record = *announcement.record;
+    if (checkRecord(record) != AnnounceStatus::Accepted || memberIdOf(record.name) != announcement.id)
+        return AnnounceStatus::Invalid;
+    if (found != m_locals.end() && record.process < found->second.record.process) {
+        if (isLeader())
+            m_membership.announce(record);
+        else if (m_olderRecords.size() < detail::maxOlderRecords)
+            m_olderRecords.push_back(record);
+        return AnnounceStatus::OlderIncarnation;
+    }
+    if (found == m_locals.end()) {
+        if (m_locals.size() >= detail::maxLocals)
+            return AnnounceStatus::TableFull;
+        found = m_locals.emplace(announcement.id, Local()).first;
+        found->second.record.revision = 0;
+    }
+    Local& local = found->second;
+    local.heard = m_clock.now();
+    bool newer = record.process > local.record.process || record.revision > local.record.revision;
+    if (newer) {
+        m_flushNow = m_flushNow || detail::isUrgent(record);
+        local.record = record;
+        local.confirmed = false;
+        local.sentIn = 0;
+    }
+    return AnnounceStatus::Accepted;
+}
+
+bool ControlInstance::takeAtLeader(MemberId id, const MemberRecord& record, bool full, AnnounceStatus& status)
+{
+    if (!full && m_membership.renew(id))
+        return true;
+    status = m_membership.announce(record);
+    if (status == AnnounceStatus::Accepted)
+        return true;
+    m_locals.erase(id);
+    return false;
+}
+
+void ControlInstance::answerAnnouncement(RequestId request, uint64_t sequence, AnnounceStatus status, bool backed)
+{
+    AnnounceReply reply;
+    reply.sequence = sequence;
+    reply.status = status;
+    reply.backed = backed;
+    reply.newest = m_relay.current()->version;
+    reply.epoch = m_relay.current()->manifestEpoch;
+    answer(request, reply);
+}
+
+void ControlInstance::flushBatch()
+{
+    m_flushNow = false;
+    Time now = m_clock.now();
+    m_lastBatch = now;
+    if (isLeader()) {
+        for (const EpochAcknowledgement& acknowledgement : m_relay.takeAcknowledgements())
+            m_membership.acknowledge(acknowledgement.member, acknowledgement.epoch);
+        return;
+    }
+    if (m_leader == ControlInstanceId())
+        return;
+    AnnouncementBatch batch;
+    batch.sequence = ++m_batchSequence;
+    batch.term = m_term;
+    batch.known = m_relay.current()->version;
+    batch.seen = m_seen;
+    batch.seenEpoch = m_seenEpoch;
+    batch.records.swap(m_olderRecords);
+    for (auto& [id, local] : m_locals) {
+        bool unsent = local.request && local.requestBatch == 0;
+        if (local.confirmed) {
+            if (unsent)
+                detail::appendId(batch.alive, id);
+        } else if (unsent || local.sentIn == 0 || now - local.sentAt >= 2 * m_settings.batchInterval) {
+            if (batch.records.size() >= detail::maxRecordsPerBatch)
+                continue;
+            batch.records.push_back(local.record);
+            local.sentIn = batch.sequence;
+            local.sentAt = now;
+        }
+        if (unsent)
+            local.requestBatch = batch.sequence;
+    }
+    batch.acknowledgements = m_relay.takeAcknowledgements();
+    m_actions.push_back(SendToInstance { m_leader, std::move(batch) });
+}
+
+void ControlInstance::onMessage(ControlInstanceId from, const AnnouncementBatch& batch)
+{
+    if (!isLeader() || batch.term != m_term)
+        return;
+    m_publisher.versionSeen(batch.seen, batch.seenEpoch);
+    m_publisher.versionSeen(batch.known, Epoch());
+    BatchReply reply;
+    reply.sequence = batch.sequence;
+    reply.term = m_term;
+    for (const MemberRecord& record : batch.records) {
+        AnnounceStatus status = m_membership.announce(record);
+        if (status != AnnounceStatus::Accepted)
+            reply.refused.push_back({ memberIdOf(record.name), record.process, status });
+    }
+    for (MemberId id : detail::readIds(batch.alive)) {
+        if (!m_membership.renew(id))
+            reply.needRecord.push_back(id);
+    }
+    for (const EpochAcknowledgement& acknowledgement : batch.acknowledgements)
+        m_membership.acknowledge(acknowledgement.member, acknowledgement.epoch);
+    reply.quorum = m_publisher.hasQuorum();
+    if (batch.known < m_relay.current()->version) {
+        WatchRequest all;
+        all.known = batch.known;
+        WatchReply changes = m_relay.changesSince(all);
+        reply.delta = std::move(changes.delta);
+        reply.snapshot = std::move(changes.snapshot);
+    }
+    m_actions.push_back(SendToInstance { from, std::move(reply) });
+}
+
+void ControlInstance::onMessage(ControlInstanceId from, const BatchReply& reply)
+{
+    if (reply.snapshot)
+        m_relay.advance(std::make_shared<const Directory>(*reply.snapshot));
+    else if (reply.delta)
+        m_relay.advance(*reply.delta);
+    answerWatches();
+    if (reply.term != m_term || from != m_leader)
+        return;
+    for (const MemberRefusal& refusal : reply.refused) {
+        auto found = m_locals.find(refusal.member);
+        if (found == m_locals.end() || found->second.record.process != refusal.process)
+            continue;
+        if (found->second.request)
+            answerAnnouncement(*found->second.request, found->second.requestSequence, refusal.status, false);
+        m_locals.erase(found);
+    }
+    for (MemberId id : reply.needRecord) {
+        auto found = m_locals.find(id);
+        if (found == m_locals.end())
+            continue;
+        found->second.confirmed = false;
+        found->second.sentIn = 0;
+        found->second.requestBatch = 0;
+        m_flushNow = true;
+    }
+    for (auto& [id, local] : m_locals) {
+        if (local.sentIn == reply.sequence) {
+            local.confirmed = true;
+            local.sentIn = 0;
+        }
+        if (local.request && local.requestBatch == reply.sequence) {
+            answerAnnouncement(*local.request, local.requestSequence, AnnounceStatus::Accepted, reply.quorum);
+            local.request.reset();
+        }
+    }
+}
+
+void ControlInstance::onMessage(ControlInstanceId, const DirectoryUpdate& update)
+{
+    m_relay.advance(update.delta);
+    answerWatches();
+}
+
+void ControlInstance::onMessage(ControlInstanceId, const CommandForward& forward)
+{
+    if (isLeader())
+        m_actions.push_back(ProposeCommand { forward.command });
+}
+
+void ControlInstance::on(const InstanceMessageReceived& event)
+{
+    std::visit([&](const auto& message) { onMessage(event.from, message); }, event.message);
+}
+
+// --- subscribers, commands and status
+
+void ControlInstance::on(const WatchReceived& event)
+{
+    m_seen = std::max(m_seen, event.watch.known);
+    m_seenEpoch = std::max(m_seenEpoch, event.watch.knownEpoch);
+    if (isLeader())
+        m_publisher.versionSeen(m_seen, m_seenEpoch);
+    if (std::optional<WatchReply> reply = m_relay.watch(event.request, event.watch))
+        answer(event.request, std::move(*reply));
+}
+
+void ControlInstance::on(const CommandReceived& event)
+{
+    ManifestCommand command = event.command;
+    ManifestResult refusal;
+    refusal.currentVersion = m_register.version();
+    if (m_leader == ControlInstanceId())
+        refusal.outcome = ManifestOutcome::NoLeader;
+    else if (m_waiting.size() >= m_settings.maxWaitingCommands)
+        refusal.outcome = ManifestOutcome::Busy;
+    else if (command.dataCentre.empty()) {
+        // Keeps documents that no instance would accept out of the log.
+        Findings findings;
+        if (!parseManifest("manifest", command.manifest, findings)) {
+            refusal.outcome = ManifestOutcome::Invalid;
+            for (const Finding& finding : findings.all()) {
+                if (refusal.findings.size() < detail::maxFindingsKept)
+                    refusal.findings.push_back(finding.place.key + ": " + finding.message);
+            }
+        }
+    }
+    if (refusal.outcome != ManifestOutcome::Unknown) {
+        answer(event.request, std::move(refusal));
+        return;
+    }
+    command.token = m_random.next();
+    m_waiting[command.token] = { event.request, m_clock.now() + m_settings.commandTimeout };
+    std::string bytes = encodeMessage(command);
+    if (isLeader())
+        m_actions.push_back(ProposeCommand { std::move(bytes) });
+    else
+        m_actions.push_back(SendToInstance { m_leader, CommandForward { std::move(bytes) } });
+}
+
+void ControlInstance::on(const StatusReceived& event)
+{
+    StatusReply reply;
+    reply.leader = m_leader;
+    reply.isLeader = isLeader();
+    reply.manifestVersion = m_register.version();
+    reply.epoch = m_register.epoch();
+    reply.directory = m_relay.current()->version;
+    reply.findings = m_findings;
+    if (isLeader()) {
+        flushBatch();
+        reply.members = m_membership.members().size();
+        reply.behindCount = m_membership.countBehind(reply.epoch, reply.behind, detail::maxNames);
+    } else {
+        reply.members = m_relay.subscribers();
+        reply.behindCount = m_relay.countBehind(reply.epoch, reply.behind, detail::maxNames);
+    }
+    answer(event.request, std::move(reply));
+}
+
+void ControlInstance::on(const RequestClosed& event)
+{
+    m_relay.close(event.request);
+    for (auto& [id, local] : m_locals) {
+        if (local.request == event.request)
+            local.request.reset();
+    }
+    for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+        if (it->second.request == event.request)
+            m_waiting.erase(it++);
+        else
+            ++it;
+    }
+}
+
+void ControlInstance::on(const Tick&)
+{
+    Time now = m_clock.now();
+    if (isLeader()) {
+        m_membership.tick(m_publisher.hasQuorum());
+        for (std::string& finding : m_membership.takeFindings()) {
+            m_actions.push_back(ReportFinding { finding });
+            m_findings.push_back(std::move(finding));
+            if (m_findings.size() > detail::maxFindingsKept)
+                m_findings.erase(m_findings.begin());
+        }
+    }
+    if (now - m_lastBatch >= m_settings.batchInterval) {
+        expireLocals();
+        flushBatch();
+    }
+    for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+        if (now < it->second.deadline) {
+            ++it;
+            continue;
+        }
+        ManifestResult unknown;
+        unknown.currentVersion = m_register.version();
+        answer(it->second.request, std::move(unknown));
+        m_waiting.erase(it++);
+    }
+    answerWatches();
+}
+
+void ControlInstance::expireLocals()
+{
+    Time now = m_clock.now();
+    for (auto it = m_locals.begin(); it != m_locals.end();) {
+        Local& local = it->second;
+        // The leader has not answered the batch: the process must try another instance within its lease.
+        if (local.request && now - local.heard >= 2 * m_settings.batchInterval) {
+            answerAnnouncement(*local.request, local.requestSequence, AnnounceStatus::Accepted, false);
+            local.request.reset();
+        }
+        if (now - local.heard >= std::chrono::milliseconds(3 * local.record.intervalMs))
+            m_locals.erase(it++);
+        else
+            ++it;
+    }
+}
+
+void ControlInstance::publish()
+{
+    if (!isLeader())
+        return;
+    std::shared_ptr<const Directory> directory = m_publisher.publish(m_register, m_membership);
+    if (!directory)
+        return;
+    DirectoryUpdate update;
+    update.term = m_term;
+    update.delta = makeDelta(*m_relay.current(), *directory);
+    if (!m_relay.advance(std::move(directory))) {
+        m_actions.push_back(ReportFinding { "the directory that was built is not newer than the present one" });
+        return;
+    }
+    m_publisher.versionSeen(m_relay.current()->version, m_relay.current()->manifestEpoch);
+    m_actions.push_back(SendToAllInstances { std::move(update) });
+    answerWatches();
+}
+
+void ControlInstance::answerWatches()
+{
+    for (auto& [request, reply] : m_relay.due())
+        answer(request, std::move(reply));
+}
+
+} // namespace cicadaward
--- /dev/null
+++ b/libs/control/control_instance.h
@@ -0,0 +1,196 @@
+// The decisions of one control instance: it combines the manifest register, and while it leads also the membership and
+// the directory publisher, with the relay that serves the subscribers of this instance. Raft stays outside and reports
+// by events; the daemon moves bytes.
+//
+//     ControlInstance instance(clock, random, settings);
+//     for (ControlAction& action : instance.handle(Tick {})) // every 20 ms
+//         std::visit(driver, action);
+//
+// Contract with Raft: EntryApplied comes in log order without gaps, after SnapshotInstalled where one was used.
+// LeadershipGained comes when this instance has applied the first entry of its own term, so that its register holds all
+// accepted manifests. LeaderChanged tells every other instance whom to send to.
+//
+// A new leader publishes nothing for one lease. By then every live process has announced itself, so nobody is removed
+// because the new leader has not heard of it yet. Leases of processes are renewed meanwhile.
+#pragma once
+
+#include "control/directory_publisher.h"
+#include "control/dissemination.h"
+#include "control/manifest_register.h"
+#include "control/membership.h"
+#include "core/random.h"
+
+#include <absl/container/flat_hash_map.h>
+
+namespace cicadaward {
+
+struct ControlInstanceSettings {
+    ControlInstanceId id;
+    std::vector<ControlInstanceId> others; // the other instances
+    Duration batchInterval = std::chrono::milliseconds(250);
+    Duration commandTimeout = std::chrono::seconds(5);
+    size_t maxWaitingCommands = 256;
+    MembershipSettings membership;
+    PublisherSettings publisher;
+    RelaySettings relay;
+};
+
+// Events.
+struct EntryApplied {
+    uint64_t index = 0;
+    std::string command;
+};
+struct SnapshotInstalled {
+    std::string snapshot; // from ManifestRegister::snapshot()
+};
+struct LeadershipGained {
+    Term term;
+};
+// This instance follows `leader` in `term`; `leader` is none while no leader is known.
+struct LeaderChanged {
+    Term term;
+    ControlInstanceId leader;
+};
+// The leader has heard from a quorum; `at` is the send time of the oldest request that the quorum answered.
+struct QuorumHeard {
+    Time at;
+};
+struct InstanceMessageReceived {
+    ControlInstanceId from;
+    InstanceMessage message;
+};
+struct AnnounceReceived {
+    RequestId request;
+    Announcement announcement;
+};
+struct WatchReceived {
+    RequestId request;
+    WatchRequest watch;
+};
+// The command's token is assigned here.
+struct CommandReceived {
+    RequestId request;
+    ManifestCommand command;
+};
+struct StatusReceived {
+    RequestId request;
+};
+// The caller has gone; nothing more is answered.
+struct RequestClosed {
+    RequestId request;
+};
+struct Tick { };
+
+using ControlEvent = std::variant<EntryApplied, SnapshotInstalled, LeadershipGained, LeaderChanged, QuorumHeard,
+    InstanceMessageReceived, AnnounceReceived, WatchReceived, CommandReceived, StatusReceived, RequestClosed, Tick>;
+
+// Actions.
+struct ProposeCommand {
+    std::string command; // for Raft; comes back as EntryApplied at every instance
+};
+struct SendToInstance { // the leader, or the sender of a batch
+    ControlInstanceId to;
+    InstanceMessage message;
+};
+struct SendToAllInstances {
+    InstanceMessage message;
+};
+using ControlAnswer = std::variant<AnnounceReply, WatchReply, ManifestResult, StatusReply>;
+struct AnswerRequest {
+    RequestId request;
+    ControlAnswer answer;
+};
+// For the log of the daemon.
+struct ReportFinding {
+    std::string text;
+};
+
+using ControlAction = std::variant<ProposeCommand, SendToInstance, SendToAllInstances, AnswerRequest, ReportFinding>;
+using ControlActions = std::vector<ControlAction>;
+
+class ControlInstance {
+public:
+    ControlInstance(const Clock& clock, Random& random, ControlInstanceSettings settings);
+
+    ControlActions handle(const ControlEvent& event);
+
+    const ManifestRegister& manifests() const { return m_register; }
+    const Relay& relay() const { return m_relay; }
+    const Membership& membership() const { return m_membership; } // empty unless this instance leads
+    bool isLeader() const { return m_leader == m_settings.id; }
+    ControlInstanceId leader() const { return m_leader; }
+
+private:
+    // A process that announces itself here, and its announcement that waits for the leader's answer.
+    struct Local {
+        MemberRecord record;
+        Time heard;
+        bool confirmed = false; // the leader of the present term has the record
+        uint64_t sentIn = 0; // sequence of the last batch with the record; 0: none
+        Time sentAt;
+        std::optional<RequestId> request;
+        uint64_t requestSequence = 0;
+        uint64_t requestBatch = 0; // sequence of the batch that carried it; 0: not sent yet
+    };
+    struct Waiting {
+        RequestId request;
+        Time deadline;
+    };
+
+    void on(const EntryApplied& event);
+    void on(const SnapshotInstalled& event);
+    void on(const LeadershipGained& event);
+    void on(const LeaderChanged& event);
+    void on(const QuorumHeard& event);
+    void on(const InstanceMessageReceived& event);
+    void on(const AnnounceReceived& event);
+    void on(const WatchReceived& event);
+    void on(const CommandReceived& event);
+    void on(const StatusReceived& event);
+    void on(const RequestClosed& event);
+    void on(const Tick& event);
+
+    void onMessage(ControlInstanceId from, const AnnouncementBatch& batch);
+    void onMessage(ControlInstanceId from, const BatchReply& reply);
+    void onMessage(ControlInstanceId from, const DirectoryUpdate& update);
+    void onMessage(ControlInstanceId from, const CommandForward& forward);
+
+    AnnounceStatus takeAnnouncement(const Announcement& announcement);
+    bool takeAtLeader(MemberId id, const MemberRecord& record, bool full, AnnounceStatus& status);
+    void answerAnnouncement(RequestId request, uint64_t sequence, AnnounceStatus status, bool backed);
+    void expireLocals();
+    void flushBatch();
+    void followLeader(Term term, ControlInstanceId leader);
+    void publish();
+    void answerWatches();
+    void answer(RequestId request, ControlAnswer answer)
+    {
+        m_actions.push_back(AnswerRequest { request, std::move(answer) });
+    }
+
+    const Clock& m_clock;
+    Random& m_random;
+    ControlInstanceSettings m_settings;
+    ControlActions m_actions;
+
+    ManifestRegister m_register;
+    Membership m_membership;
+    DirectoryPublisher m_publisher;
+    Relay m_relay;
+
+    Term m_term;
+    ControlInstanceId m_leader;
+    DirectoryVersion m_seen;
+    Epoch m_seenEpoch;
+
+    absl::flat_hash_map<MemberId, Local> m_locals;
+    std::vector<MemberRecord> m_olderRecords; // of replaced processes, for the leader's search for duplicates
+    absl::flat_hash_map<uint64_t, Waiting> m_waiting; // by command token
+    std::vector<std::string> m_findings; // the last 64
+
+    uint64_t m_batchSequence = 0;
+    Time m_lastBatch;
+    bool m_flushNow = false;
+};
+
+} // namespace cicadaward
--- /dev/null
+++ b/libs/control/directory_delta.cc
@@ -0,0 +1,152 @@
+#include "control/directory_delta.h"
+
+#include <algorithm>
+
+namespace cicadaward {
+
+namespace detail {
+
+    bool samePort(const PortSpec& a, const PortSpec& b)
+    {
+        return a.port == b.port && a.protocol == b.protocol && a.mode == b.mode;
+    }
+
+    bool sameDataCentre(const DataCentre& a, const DataCentre& b)
+    {
+        return a.id == b.id && a.name == b.name && a.out == b.out;
+    }
+
+    // Walks two lists with ascending ids and reports what the second has more, differently, or no longer.
+    template <typename T, typename Same, typename Id>
+    void compareSorted(const std::vector<T>& before, const std::vector<T>& after, Same same, std::vector<T>& changed,
+        std::vector<Id>& removed)
+    {
+        auto old = before.begin();
+        for (const T& item : after) {
+            for (; old != before.end() && old->id < item.id; ++old)
+                removed.push_back(old->id);
+            if (old != before.end() && old->id == item.id) {
+                if (!same(*old, item))
+                    changed.push_back(item);
+                ++old;
+            } else
+                changed.push_back(item);
+        }
+        for (; old != before.end(); ++old)
+            removed.push_back(old->id);
+    }
+
+    template <typename T, typename Id>
+    void applySorted(std::vector<T>& items, const std::vector<T>& changed, const std::vector<Id>& removed)
+    {
+        if (changed.empty() && removed.empty())
+            return;
+        std::vector<T> result;
+        result.reserve(items.size() + changed.size());
+        auto next = changed.begin();
+        auto gone = removed.begin();
+        for (T& item : items) {
+            for (; next != changed.end() && next->id < item.id; ++next)
+                result.push_back(*next);
+            while (gone != removed.end() && *gone < item.id)
+                ++gone;
+            if (next != changed.end() && next->id == item.id)
+                continue; // replaced: appended by the next round
+            if (gone == removed.end() || *gone != item.id)
+                result.push_back(std::move(item));
+        }
+        result.insert(result.end(), next, changed.end());
+        items = std::move(result);
+    }
+
+    template <typename T> bool ascending(const std::vector<T>& items)
+    {
+        return std::adjacent_find(items.begin(), items.end(), [](const T& a, const T& b) { return !(a.id < b.id); })
+            == items.end();
+    }
+
+    template <typename Id> bool ascendingIds(const std::vector<Id>& ids)
+    {
+        return std::adjacent_find(ids.begin(), ids.end(), [](Id a, Id b) { return !(a < b); }) == ids.end();
+    }
+
+    bool validMember(const Member& member)
+    {
+        return member.role <= MemberRole::Agent && member.state <= MemberState::TargetDown;
+    }
+
+    bool validService(const Service& service)
+    {
+        uint32_t buckets = service.spec.buckets;
+        return buckets > 0 && buckets <= 65536 && (buckets & (buckets - 1)) == 0
+            && std::all_of(service.spec.ports.begin(), service.spec.ports.end(), [](const PortSpec& port) {
+                   return port.mode <= PortMode::Request
+                       && (port.protocol == Protocol::Tcp || port.protocol == Protocol::Udp);
+               });
+    }
+
+} // namespace detail
+
+bool sameMember(const Member& a, const Member& b)
+{
+    return a.id == b.id && a.name == b.name && a.role == b.role && a.state == b.state && a.service == b.service
+        && a.dataCentre == b.dataCentre && a.tunnel == b.tunnel && a.capacity == b.capacity && a.process == b.process
+        && a.target == b.target;
+}
+
+bool sameService(const Service& a, const Service& b)
+{
+    return a.id == b.id && a.spec.name == b.spec.name && a.spec.address == b.spec.address
+        && a.spec.buckets == b.spec.buckets && a.spec.slotsPerTarget == b.spec.slotsPerTarget
+        && a.spec.flowsPerTarget == b.spec.flowsPerTarget && a.spec.coldShare == b.spec.coldShare
+        && std::equal(
+            a.spec.ports.begin(), a.spec.ports.end(), b.spec.ports.begin(), b.spec.ports.end(), detail::samePort);
+}
+
+DirectoryDelta makeDelta(const Directory& before, const Directory& after)
+{
+    DirectoryDelta delta;
+    delta.base = before.version;
+    delta.version = after.version;
+    delta.manifestEpoch = after.manifestEpoch;
+    delta.manifestVersion = after.manifestVersion;
+    delta.dataCentresChanged = !std::equal(before.dataCentres.begin(), before.dataCentres.end(),
+        after.dataCentres.begin(), after.dataCentres.end(), detail::sameDataCentre);
+    if (delta.dataCentresChanged)
+        delta.dataCentres = after.dataCentres;
+    detail::compareSorted(before.services, after.services, sameService, delta.services, delta.removedServices);
+    detail::compareSorted(before.members, after.members, sameMember, delta.members, delta.removedMembers);
+    return delta;
+}
+
+bool applyDelta(const DirectoryDelta& delta, Directory& directory)
+{
+    if (delta.base != directory.version || delta.version <= delta.base || delta.manifestEpoch < directory.manifestEpoch)
+        return false;
+    if (delta.members.size() + delta.removedMembers.size() + delta.services.size() + delta.removedServices.size()
+        > maxDeltaItems)
+        return false;
+    if (!detail::ascending(delta.services) || !detail::ascending(delta.members) || !detail::ascending(delta.dataCentres)
+        || !detail::ascendingIds(delta.removedServices) || !detail::ascendingIds(delta.removedMembers)
+        || !std::all_of(delta.members.begin(), delta.members.end(), detail::validMember)
+        || !std::all_of(delta.services.begin(), delta.services.end(), detail::validService))
+        return false;
+    directory.version = delta.version;
+    directory.manifestEpoch = delta.manifestEpoch;
+    directory.manifestVersion = delta.manifestVersion;
+    if (delta.dataCentresChanged)
+        directory.dataCentres = delta.dataCentres;
+    detail::applySorted(directory.services, delta.services, delta.removedServices);
+    detail::applySorted(directory.members, delta.members, delta.removedMembers);
+    return true;
+}
+
+bool isWellFormed(const Directory& directory)
+{
+    return detail::ascending(directory.dataCentres) && detail::ascending(directory.services)
+        && detail::ascending(directory.members)
+        && std::all_of(directory.members.begin(), directory.members.end(), detail::validMember)
+        && std::all_of(directory.services.begin(), directory.services.end(), detail::validService);
+}
+
+} // namespace cicadaward
--- /dev/null
+++ b/libs/control/directory_publisher.h
@@ -0,0 +1,56 @@
+// Decides when the control leader publishes a new directory, and builds it from the manifest register and membership.
+//
+//     if (auto directory = publisher.publish(manifests, membership))
+//         relay.advance(directory);
+//
+// Versions never go back: the term is the leader's, the sequence grows, and nothing is published while anybody is known
+// to have seen a later term or a later manifest epoch than this leader has.
+#pragma once
+
+#include "control/membership.h"
+
+#include <memory>
+
+namespace cicadaward {
+
+struct PublisherSettings {
+    Duration minInterval = std::chrono::milliseconds(100); // at most one version in this time
+    Duration quorumTimeout = std::chrono::seconds(1); // election timeout: an older quorum is no quorum
+    Duration grace = std::chrono::seconds(3); // the longest lease; a new leader publishes nothing before
+};
+
+class DirectoryPublisher {
+public:
+    DirectoryPublisher(const Clock& clock, PublisherSettings settings)
+        : m_clock(clock)
+        , m_settings(settings)
+    {
+    }
+
+    void leadershipGained(Term term);
+    void leadershipLost() { m_term.reset(); }
+    void quorumHeard(Time at);
+    void versionSeen(DirectoryVersion version, Epoch epoch);
+
+    bool hasQuorum() const;
+    std::optional<Time> quorumAt() const { return m_quorum; }
+
+    // Null when there is nothing new or publishing is not allowed now. Agents whose service, and processes whose data
+    // centre, the manifest does not name are left out: nothing could take them out again.
+    std::shared_ptr<const Directory> publish(const ManifestRegister& manifests, const Membership& membership);
+
+private:
+    const Clock& m_clock;
+    PublisherSettings m_settings;
+    std::optional<Term> m_term; // set while leading
+    Time m_since; // of leadership
+    std::optional<Time> m_quorum;
+    DirectoryVersion m_seen;
+    Epoch m_seenEpoch;
+    std::optional<Time> m_published;
+    Epoch m_publishedEpoch;
+    uint64_t m_publishedRevision = 0;
+    uint64_t m_sequence = 0;
+};
+
+} // namespace cicadaward
--- /dev/null
+++ b/libs/control/dissemination.h
@@ -0,0 +1,103 @@
+// Serves directories to the subscribers of one control instance, as deltas where the history reaches back.
+//
+//     relay.advance(directory); // from the leader
+//     if (auto reply = relay.watch(request, watch))
+//         send(request, *reply);
+//     for (auto& [request, reply] : relay.due())
+//         send(request, reply);
+//
+// The history holds only the ids that changed with each version. A delta for a subscriber is made from those ids and
+// the current directory, so it has each member at most once, however often it changed. Memory: at most `maxHistory`
+// versions with `maxHistoryIds` ids in all, and `maxSubscribers` subscribers.
+//
+// An agent that a version does not concern is told of it with a delay of at most `quietDelay`, so that a burst of
+// versions costs it one message. It must be told in the end, because packets of others carry the version.
+#pragma once
+
+#include "control/messages.h"
+#include "core/clock.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <deque>
+#include <memory>
+
+namespace cicadaward {
+
+// Chosen by the driver for each request that waits for an answer.
+using RequestId = Id<struct RequestTag, uint64_t>;
+
+struct RelaySettings {
+    size_t maxHistory = 256;
+    size_t maxHistoryIds = 1 << 16;
+    size_t maxSubscribers = 4096;
+    Duration maxWait = std::chrono::seconds(10);
+    Duration quietDelay = std::chrono::seconds(1);
+    Duration subscriberLifetime = std::chrono::seconds(30); // without any watch
+};
+
+class Relay {
+public:
+    Relay(const Clock& clock, RelaySettings settings);
+
+    // Takes a newer directory. Returns false when it is not newer, is malformed or would lower the manifest epoch.
+    bool advance(std::shared_ptr<const Directory> directory);
+    bool advance(const DirectoryDelta& delta);
+    const std::shared_ptr<const Directory>& current() const { return m_current; }
+
+    // The answer, or nothing when the request waits. A new watch of a member replaces its waiting one, which due()
+    // answers empty. When there is no room for another subscriber, the answer is empty and comes at once.
+    std::optional<WatchReply> watch(RequestId request, const WatchRequest& watch);
+    std::vector<std::pair<RequestId, WatchReply>> due();
+    void close(RequestId request);
+
+    // What a process at version `known` needs to be up to date; neither delta nor snapshot when it already is.
+    WatchReply changesSince(const WatchRequest& watch) const;
+
+    // Acknowledged epochs that changed since the last call.
+    std::vector<EpochAcknowledgement> takeAcknowledgements();
+    size_t countBehind(Epoch epoch, std::vector<std::string>& ids, size_t maxIds) const;
+    size_t subscribers() const { return m_subscribers.size(); }
+    uint64_t snapshotsServed() const { return m_snapshots; }
+
+private:
+    struct ChangedMember {
+        MemberId id;
+        ServiceId service; // before or after the change; two entries when it moved
+    };
+    struct Change {
+        DirectoryVersion base;
+        Epoch epoch; // after the change
+        bool dataCentres = false;
+        std::vector<ServiceId> services;
+        std::vector<ChangedMember> members;
+    };
+    struct Subscriber {
+        Epoch acknowledged;
+        DirectoryVersion version;
+        Time heard;
+        std::optional<RequestId> waiting;
+        WatchRequest watch;
+        Time deadline;
+        std::optional<Time> quietSince; // a version that does not concern it is waiting
+        DirectoryVersion quietVersion; // the last one that was found not to concern it
+    };
+
+    Change changeBetween(const Directory& before, const Directory& after) const;
+    void remember(Change change);
+    ServiceId serviceOf(const WatchRequest& watch) const;
+    Directory filtered(const WatchRequest& watch) const;
+    bool concerns(const WatchRequest& watch, const WatchReply& reply) const;
+    std::optional<WatchReply> answerNow(Subscriber& subscriber);
+
+    const Clock& m_clock;
+    RelaySettings m_settings;
+    std::shared_ptr<const Directory> m_current;
+    std::deque<Change> m_history;
+    size_t m_historyIds = 0;
+    absl::flat_hash_map<MemberId, Subscriber> m_subscribers;
+    std::vector<std::pair<RequestId, WatchReply>> m_replaced;
+    absl::flat_hash_map<MemberId, Epoch> m_acknowledgements;
+    mutable uint64_t m_snapshots = 0;
+};
+
+} // namespace cicadaward
--- /dev/null
+++ b/libs/control/membership.h
@@ -0,0 +1,108 @@
+// The members that are alive, as the control leader knows them from announcements. Soft state: it is never logged, and
+// a new leader collects it again within one lease.
+//
+//     Membership membership(clock, settings);
+//     AnnounceStatus status = membership.announce(record);
+//     membership.tick(quorumHeard); // removes members whose lease has run out
+//     if (membership.revision() != published)
+//         publish(membership.members());
+//
+// A member is removed one lease after its last announcement arrived. The member counts its own lease from the time it
+// sent that announcement, so it has stopped placing new flows before it is removed. Removing late is safe, so leases
+// are extended whenever this process may have missed announcements: without a quorum, and after a pause of its own.
+#pragma once
+
+#include "control/messages.h"
+#include "core/clock.h"
+
+#include <map>
+
+namespace cicadaward {
+
+struct MembershipSettings {
+    size_t maxMembers = 8192;
+    Duration flapWindow = std::chrono::seconds(60);
+    Duration dampingTime = std::chrono::seconds(10);
+    Duration duplicateWindow = std::chrono::seconds(10);
+    // One or two announcements of a process that was replaced may still be under way.
+    unsigned duplicateCount = 3;
+    // Time between two ticks from which on the process counts as having been paused.
+    Duration pauseLimit = std::chrono::milliseconds(500);
+};
+
+// Limits on the announced interval; the lease is three intervals.
+constexpr uint32_t minIntervalMs = 100;
+constexpr uint32_t maxIntervalMs = 10000;
+
+// Accepted when names and values are in range.
+AnnounceStatus checkRecord(const MemberRecord& record);
+
+class Membership {
+public:
+    struct Entry {
+        MemberRecord record;
+        Time leaseEnd;
+        Time since; // reachable without interruption
+        bool damped = false;
+        Epoch epoch; // that the member last acknowledged
+    };
+
+    Membership(const Clock& clock, MembershipSettings settings)
+        : m_clock(clock)
+        , m_settings(settings)
+    {
+    }
+
+    // Forgets everything; called when leadership begins or ends.
+    void reset();
+
+    AnnounceStatus announce(const MemberRecord& record);
+    // Renews the lease; false when the member is unknown.
+    bool renew(MemberId id);
+    void acknowledge(MemberId id, Epoch epoch);
+    void tick(bool quorumHeard);
+
+    // Changes whenever members() would be published differently.
+    uint64_t revision() const { return m_revision; }
+    const std::map<MemberId, Entry>& members() const { return m_members; }
+    // The announced state, but Warming instead of Warm while the member is damped.
+    static MemberState effectiveState(const Entry& entry);
+
+    size_t countBehind(Epoch epoch, std::vector<std::string>& names, size_t maxNames) const;
+    std::vector<std::string> takeFindings();
+
+private:
+    struct Removal {
+        Time last;
+        std::optional<Time> previous;
+    };
+    struct Departure {
+        Incarnation process;
+        Time at;
+    };
+    struct Duplicate {
+        Time first;
+        unsigned count = 0;
+        bool reported = false;
+    };
+
+    static Duration lease(const MemberRecord& record) { return std::chrono::milliseconds(3 * record.intervalMs); }
+    bool mustDamp(MemberId id) const;
+    void noteRemoval(MemberId id);
+    void noteOlderIncarnation(MemberId id, const MemberRecord& older, const MemberRecord& known);
+    void extendLeases();
+    void forgetOldNotes();
+
+    const Clock& m_clock;
+    MembershipSettings m_settings;
+    std::map<MemberId, Entry> m_members;
+    std::map<MemberId, Removal> m_removals; // within the flap window
+    std::map<MemberId, Departure> m_departures; // processes that left, within the flap window
+    std::map<MemberId, Duplicate> m_duplicates; // within the duplicate window
+    std::vector<std::string> m_newFindings;
+    std::optional<Time> m_lastTick;
+    bool m_suspended = false;
+    uint64_t m_revision = 1;
+};
+
+} // namespace cicadaward
--- /dev/null
+++ b/libs/control/messages.h
@@ -0,0 +1,176 @@
+// Messages between entries, agents and control instances. All are encoded with encodeMessage() and decoded with
+// decodeMessage() of directory/codec.h; fields are only ever added at the end.
+//
+// A process announces its whole record once and after each change; in between it sends announcements without a record
+// (about 35 bytes), because the record does not change and 3,020 processes announce themselves all the time.
+#pragma once
+
+#include "control/directory_delta.h"
+#include "control/manifest_register.h"
+#include "core/hash.h"
+
+#include <optional>
+#include <variant>
+
+namespace cicadaward {
+
+// Number of a control instance, from 1; 0 means "none".
+using ControlInstanceId = Id<struct ControlInstanceTag, uint32_t>;
+
+// Member id of an instance name; the same in every process.
+inline MemberId memberIdOf(const std::string& name) { return MemberId(hashString(name) | 1); }
+
+enum class AnnounceStatus : uint8_t {
+    Accepted = 0,
+    NeedRecord = 1, // the instance does not know the record of this process: announce it in full
+    OlderIncarnation = 2, // a later process announces the same instance name
+    TableFull = 3,
+    Invalid = 4, // empty or long name, or a value out of range
+};
+
+// What a process says about itself. Service and data centre are names from its settings; ids come from the register.
+struct MemberRecord {
+    std::string name; // instance name, 1 to 63 bytes
+    MemberRole role = MemberRole::Agent;
+    MemberState state = MemberState::Warming;
+    std::string service; // empty for an entry
+    std::string dataCentre;
+    Endpoint tunnel;
+    uint32_t capacity = 0;
+    Incarnation process;
+    Incarnation target;
+    uint32_t intervalMs = 1000; // between announcements; the lease is three times as long
+    uint64_t revision = 1; // grows with each change of the record within one process
+    bool leaving = false; // the process stops: remove it at once
+
+    MSGPACK_DEFINE_ARRAY(
+        name, role, state, service, dataCentre, tunnel, capacity, process, target, intervalMs, revision, leaving)
+};
+
+struct Announcement {
+    MemberId id;
+    Incarnation process;
+    uint64_t revision = 0;
+    uint64_t sequence = 0; // of the request, echoed in the reply
+    DirectoryVersion known; // highest version that the process has seen anywhere
+    Epoch knownEpoch; // epoch that the process acts on
+    std::optional<MemberRecord> record;
+
+    MSGPACK_DEFINE_ARRAY(id, process, revision, sequence, known, knownEpoch, record)
+};
+
+struct AnnounceReply {
+    uint64_t sequence = 0;
+    AnnounceStatus status = AnnounceStatus::Accepted;
+    bool backed = false; // a leader with a quorum has taken this announcement
+    DirectoryVersion newest; // at this instance
+    Epoch epoch;
+
+    MSGPACK_DEFINE_ARRAY(sequence, status, backed, newest, epoch)
+};
+
+// Long poll for a directory newer than `known`. Sending it acknowledges that the process acts on `known`.
+struct WatchRequest {
+    MemberId member;
+    uint64_t sequence = 0;
+    DirectoryVersion known;
+    Epoch knownEpoch;
+    MemberRole role = MemberRole::Entry; // an entry gets everything, an agent its own service
+    std::string service; // of an agent
+    ServiceId serviceId; // that the agent knows for `service`; none when it has no directory
+    uint32_t waitMs = 10000; // at most 10,000; 0 asks for an answer at once
+
+    MSGPACK_DEFINE_ARRAY(member, sequence, known, knownEpoch, role, service, serviceId, waitMs)
+};
+
+// Neither delta nor snapshot: nothing newer here.
+struct WatchReply {
+    uint64_t sequence = 0;
+    DirectoryVersion newest;
+    std::optional<DirectoryDelta> delta;
+    std::optional<Directory> snapshot;
+
+    MSGPACK_DEFINE_ARRAY(sequence, newest, delta, snapshot)
+};
+
+// Acknowledgement of a manifest epoch by a process, passed on to the leader.
+struct EpochAcknowledgement {
+    MemberId member;
+    Epoch epoch;
+
+    MSGPACK_DEFINE_ARRAY(member, epoch)
+};
+
+// From an instance to the leader, every 250 ms, and at once when a member starts draining or loses its target.
+struct AnnouncementBatch {
+    uint64_t sequence = 0;
+    Term term; // of the leader that it is meant for
+    DirectoryVersion known; // version of the sender's directory
+    DirectoryVersion seen; // highest version seen in any announcement
+    Epoch seenEpoch;
+    std::vector<MemberRecord> records; // new or changed, until the leader confirms the batch
+    std::string alive; // member ids that announced themselves without change, 8 bytes each, big endian
+    std::vector<EpochAcknowledgement> acknowledgements;
+
+    MSGPACK_DEFINE_ARRAY(sequence, term, known, seen, seenEpoch, records, alive, acknowledgements)
+};
+
+struct MemberRefusal {
+    MemberId member;
+    Incarnation process;
+    AnnounceStatus status = AnnounceStatus::Invalid;
+
+    MSGPACK_DEFINE_ARRAY(member, process, status)
+};
+
+struct BatchReply {
+    uint64_t sequence = 0;
+    Term term;
+    bool quorum = false; // the leader has heard a quorum within the election timeout
+    std::vector<MemberId> needRecord; // alive, but unknown to the leader
+    std::vector<MemberRefusal> refused;
+    std::optional<DirectoryDelta> delta; // when the sender's directory is behind
+    std::optional<Directory> snapshot;
+
+    MSGPACK_DEFINE_ARRAY(sequence, term, quorum, needRecord, refused, delta, snapshot)
+};
+
+// From the leader to all instances when it publishes a version.
+struct DirectoryUpdate {
+    Term term;
+    DirectoryDelta delta;
+
+    MSGPACK_DEFINE_ARRAY(term, delta)
+};
+
+// From an instance to the leader: a command to propose. The answer comes through the log.
+struct CommandForward {
+    std::string command;
+
+    MSGPACK_DEFINE_ARRAY(command)
+};
+
+using InstanceMessage = std::variant<AnnouncementBatch, BatchReply, DirectoryUpdate, CommandForward>;
+
+// One byte for the type, then the message. decodeInstanceMessage() returns false on damage.
+std::string encodeInstanceMessage(const InstanceMessage& message);
+bool decodeInstanceMessage(const std::string& bytes, InstanceMessage& message);
+
+// Of cicadawardctl: what an instance knows. At the leader the members are all members, elsewhere its own subscribers.
+struct StatusReply {
+    ControlInstanceId leader;
+    bool isLeader = false;
+    uint64_t manifestVersion = 0;
+    Epoch epoch;
+    DirectoryVersion directory;
+    uint64_t members = 0;
+    uint64_t behindCount = 0; // members that do not act on `epoch` yet
+    std::vector<std::string> behind; // their names (ids at a follower), at most 64
+    std::vector<std::string> findings; // such as an instance name used by two processes; at most 64
+
+    MSGPACK_DEFINE_ARRAY(leader, isLeader, manifestVersion, epoch, directory, members, behindCount, behind, findings)
+};
+
+} // namespace cicadaward
+
+MSGPACK_ADD_ENUM(cicadaward::AnnounceStatus)
