Move the control machines into their own namespace

Cause: several libraries name their events Tick or DirectoryChanged, and an agent includes more than one of them. Change: namespace cicadaward::control for libs/control.

--- a/libs/control/control_client.cc
+++ b/libs/control/control_client.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <numeric>
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 namespace detail {
 
@@ -249,4 +249,4 @@
     m_actions.push_back(ContactChanged { contact });
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::control
--- a/libs/control/control_client.h
+++ b/libs/control/control_client.h
@@ -18,7 +18,7 @@
 
 #include <memory>
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 struct ControlClientSettings {
     MemberRecord record; // name, role, service, data centre, tunnel, capacity, process, target, interval, first state
@@ -164,4 +164,4 @@
     uint64_t m_refusedDirectories = 0;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::control
--- a/libs/control/control_instance.cc
+++ b/libs/control/control_instance.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 namespace detail {
 
@@ -477,4 +477,4 @@
         answer(request, std::move(reply));
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::control
--- a/libs/control/control_instance.h
+++ b/libs/control/control_instance.h
@@ -22,7 +22,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 struct ControlInstanceSettings {
     ControlInstanceId id;
@@ -193,4 +193,4 @@
     bool m_flushNow = false;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::control
--- a/libs/control/directory_delta.cc
+++ b/libs/control/directory_delta.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 namespace detail {
 
@@ -149,4 +149,4 @@
         && std::all_of(directory.services.begin(), directory.services.end(), detail::validService);
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::control
--- a/libs/control/directory_delta.h
+++ b/libs/control/directory_delta.h
@@ -9,7 +9,7 @@
 
 #include "directory/codec.h"
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 struct DirectoryDelta {
     DirectoryVersion base;
@@ -48,4 +48,4 @@
 // False when ids are not ascending or an enumeration is out of range, as in a damaged message.
 bool isWellFormed(const Directory& directory);
 
-} // namespace cicadaward
+} // namespace cicadaward::control
--- a/libs/control/directory_publisher.cc
+++ b/libs/control/directory_publisher.cc
@@ -3,7 +3,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <algorithm>
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 namespace detail {
 
@@ -97,4 +97,4 @@
     return detail::buildDirectory(version, manifests, membership);
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::control
--- a/libs/control/directory_publisher.h
+++ b/libs/control/directory_publisher.h
@@ -11,7 +11,7 @@
 
 #include <memory>
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 struct PublisherSettings {
     Duration minInterval = std::chrono::milliseconds(100); // at most one version in this time
@@ -53,4 +53,4 @@
     uint64_t m_sequence = 0;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::control
--- a/libs/control/dissemination.cc
+++ b/libs/control/dissemination.cc
@@ -3,7 +3,7 @@
 #include <absl/container/flat_hash_set.h>
 #include <algorithm>
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 Relay::Relay(const Clock& clock, RelaySettings settings)
     : m_clock(clock)
@@ -268,4 +268,4 @@
     return count;
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::control
--- a/libs/control/dissemination.h
+++ b/libs/control/dissemination.h
@@ -21,7 +21,7 @@
 #include <deque>
 #include <memory>
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 // Chosen by the driver for each request that waits for an answer.
 using RequestId = Id<struct RequestTag, uint64_t>;
@@ -100,4 +100,4 @@
     mutable uint64_t m_snapshots = 0;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::control
--- a/libs/control/manifest_register.cc
+++ b/libs/control/manifest_register.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <openssl/evp.h>
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 namespace detail {
 
@@ -230,4 +230,4 @@
     return true;
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::control
--- a/libs/control/manifest_register.h
+++ b/libs/control/manifest_register.h
@@ -15,7 +15,7 @@
 
 #include <deque>
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 enum class ManifestOutcome : uint8_t {
     Accepted = 0,
@@ -111,6 +111,6 @@
 
 std::string manifestDigest(const Manifest& manifest);
 
-} // namespace cicadaward
+} // namespace cicadaward::control
 
-MSGPACK_ADD_ENUM(cicadaward::ManifestOutcome)
+MSGPACK_ADD_ENUM(cicadaward::control::ManifestOutcome)
--- a/libs/control/membership.cc
+++ b/libs/control/membership.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 AnnounceStatus checkRecord(const MemberRecord& record)
 {
@@ -193,4 +193,4 @@
         it = now - it->second.first >= m_settings.duplicateWindow ? m_duplicates.erase(it) : std::next(it);
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::control
--- a/libs/control/membership.h
+++ b/libs/control/membership.h
@@ -17,7 +17,7 @@
 
 #include <map>
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 struct MembershipSettings {
     size_t maxMembers = 8192;
@@ -105,4 +105,4 @@
     uint64_t m_revision = 1;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::control
--- a/libs/control/messages.cc
+++ b/libs/control/messages.cc
@@ -1,6 +1,6 @@
 #include "control/messages.h"
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 namespace detail {
 
@@ -34,4 +34,4 @@
     return detail::decodeVariant(static_cast<unsigned char>(bytes[0]), bytes.substr(1), message);
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::control
--- a/libs/control/messages.h
+++ b/libs/control/messages.h
@@ -12,7 +12,7 @@
 #include <optional>
 #include <variant>
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 // Number of a control instance, from 1; 0 means "none".
 using ControlInstanceId = Id<struct ControlInstanceTag, uint32_t>;
@@ -171,6 +171,6 @@
     MSGPACK_DEFINE_ARRAY(leader, isLeader, manifestVersion, epoch, directory, members, behindCount, behind, findings)
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::control
 
-MSGPACK_ADD_ENUM(cicadaward::AnnounceStatus)
+MSGPACK_ADD_ENUM(cicadaward::control::AnnounceStatus)
--- a/libs/net/http_server.cc
+++ b/libs/net/http_server.cc
@@ -77,7 +77,7 @@
             http::async_write(
                 m_stream, m_response, [self = shared_from_this()](boost::system::error_code error, size_t) {
                     if (!error && self->m_response.keep_alive())
-                        self->read();
+                        self->waitForRequest();
                 });
         }
 
