--- /dev/null
+++ b/daemons/entry_daemon.cc
@@ -0,0 +1,157 @@
+#include "entry_daemon.h"
+
+namespace cicadaward {
+
+namespace detail {
+
+    constexpr size_t commandRingSize = 64;
+
+    DropReason dropReason(flow::EntryVerdict verdict)
+    {
+        switch (verdict) {
+        case flow::EntryVerdict::DropUnknown:
+            return DropReason::UnknownService;
+        case flow::EntryVerdict::DropNoOwner:
+            return DropReason::NoOwner;
+        case flow::EntryVerdict::DropOut:
+            return DropReason::DataCentreOut;
+        default:
+            return DropReason::Malformed;
+        }
+    }
+
+} // namespace detail
+
+EntryDaemon::EntryDaemon(DaemonBase& base, const Settings& settings)
+    : m_base(base)
+    , m_dataCentreName(settings.text("instance.data-centre"))
+    , m_self(control::memberIdOf(settings.text("instance.name")))
+    , m_drops(*base.log, DaemonBase::clock())
+    , m_forwarded(base.metrics.counter("packets.forwarded"))
+    , m_packets("packets")
+    , m_control("control")
+    , m_authenticator(base.keys)
+    , m_sequence(base.process)
+    , m_buffer(maxTunnelSize + sealTrailerSize)
+    , m_fabric(m_packets.context(), toEndpoint(settings.endpoint("listen.fabric")), maxIpPacketSize,
+          [this](Endpoint, uint8_t* data, size_t size) { handlePacket(data, size); })
+    , m_tunnel(m_packets.context(), toEndpoint(settings.endpoint("listen.tunnel")), maxTunnelSize + sealTrailerSize,
+          [this](Endpoint, uint8_t* data, size_t size) { handleTunnel(data, size); })
+    , m_commands(detail::commandRingSize, m_packets.context(), [this](PacketCommand&& command) { handleCommand(command); })
+    , m_link(base, settings.endpoints("control.peers"), clientSettings(settings), m_control.context(),
+          { [this](std::shared_ptr<const Directory> directory) {
+               m_latest.directory = std::move(directory);
+               m_commands.push(PacketCommand(m_latest));
+           },
+              [](Time, DirectoryVersion) {},
+              [this](control::Contact contact) {
+                  m_latest.isolated = contact == control::Contact::Isolated;
+                  m_commands.push(PacketCommand(m_latest));
+              } })
+{
+    m_control.every(std::chrono::milliseconds(50), [this] { m_link.tick(); });
+    m_control.every(std::chrono::seconds(1), [this] { reportMetrics(); });
+    if (settings.isSet("admin.listen")) {
+        m_admin = std::make_unique<HttpServer>(m_control.context(), toEndpoint(settings.endpoint("admin.listen")),
+            [this](const HttpRequest&, const HttpReply& reply) { reply(200, "application/json", m_base.metrics.json()); });
+    }
+}
+
+EntryDaemon::~EntryDaemon() { stop(); }
+
+control::ControlClientSettings EntryDaemon::clientSettings(const Settings& settings) const
+{
+    control::ControlClientSettings client;
+    client.record.name = settings.text("instance.name");
+    client.record.role = MemberRole::Entry;
+    client.record.state = MemberState::Warm;
+    client.record.dataCentre = m_dataCentreName;
+    client.record.tunnel = toEndpoint(settings.endpoint("listen.tunnel"));
+    client.record.process = m_base.process;
+    client.record.intervalMs = static_cast<uint32_t>(settings.duration("control.announce-interval-ms").count());
+    client.instanceElsewhere.assign(settings.endpoints("control.peers").size(), false);
+    client.isolationLimit = settings.duration("control.isolation-ms");
+    return client;
+}
+
+absl::Status EntryDaemon::start()
+{
+    for (const absl::Status& status : { m_fabric.status(), m_tunnel.status(), m_admin ? m_admin->status() : absl::OkStatus() }) {
+        if (!status.ok())
+            return status;
+    }
+    m_packets.start();
+    m_control.start();
+    return absl::OkStatus();
+}
+
+void EntryDaemon::stop()
+{
+    m_control.stop();
+    m_packets.stop();
+}
+
+void EntryDaemon::handleCommand(const PacketCommand& command)
+{
+    m_isolated = command.isolated;
+    if (!command.directory)
+        return;
+    const DataCentre* own = command.directory->findDataCentre(m_dataCentreName);
+    DataCentreId dataCentre = own ? own->id : DataCentreId();
+    if (!m_forwarder || dataCentre != m_dataCentre) {
+        m_dataCentre = dataCentre;
+        m_forwarder = std::make_unique<flow::EntryForwarder>(m_self, dataCentre);
+    }
+    m_forwarder->install(*command.directory);
+}
+
+void EntryDaemon::handlePacket(uint8_t* data, size_t size)
+{
+    if (!m_forwarder || m_isolated) {
+        m_drops.add(DropReason::Fenced);
+        return;
+    }
+    flow::Forwarding forwarding;
+    flow::EntryVerdict verdict = m_forwarder->forward(data, size, forwarding);
+    if (verdict == flow::EntryVerdict::Forward)
+        send(forwarding, data, size);
+    else
+        m_drops.add(detail::dropReason(verdict));
+}
+
+void EntryDaemon::send(const flow::Forwarding& forwarding, const uint8_t* packet, size_t size)
+{
+    size_t length = encodeTunnel(forwarding.header, packet, size, m_buffer.data());
+    length = m_authenticator.seal(m_buffer.data(), length, MessagePurpose::Packet, m_sequence.next());
+    if (length > 0 && m_tunnel.send(forwarding.to, m_buffer.data(), length))
+        m_forwarded.add();
+    else
+        m_drops.add(DropReason::SendFailed);
+}
+
+// Agents answer an entry with an empty datagram when its directory is older than theirs.
+void EntryDaemon::handleTunnel(uint8_t* data, size_t size)
+{
+    OpenResult opened = m_authenticator.open(data, size, MessagePurpose::PeerMessage);
+    TunnelHeader header;
+    if (opened.status != OpenStatus::Valid || !decodeTunnel(data, opened.payloadSize, header)) {
+        m_drops.add(DropReason::NotAuthenticated);
+        return;
+    }
+    bool elsewhere = header.dataCentre != m_dataCentre;
+    boost::asio::post(m_control.context(), [this, version = header.version, elsewhere] {
+        m_link.versionSeen(version);
+        if (elsewhere)
+            m_link.otherDataCentreHeard();
+    });
+}
+
+void EntryDaemon::reportMetrics()
+{
+    m_drops.report();
+    m_base.metrics.gauge("control.bytes_sent").set(static_cast<int64_t>(m_link.bytesSent()));
+    m_base.metrics.gauge("control.bytes_received").set(static_cast<int64_t>(m_link.bytesReceived()));
+    m_base.metrics.gauge("ring.commands.refused").set(static_cast<int64_t>(m_commands.refused()));
+}
+
+} // namespace cicadaward
