--- a/libs/control/dissemination.cc
+++ b/libs/control/dissemination.cc
@@ -122,7 +122,8 @@
                 services.push_back(id);
         }
         for (const ChangedMember& member : change->members) {
-            if (!agent || member.service == own)
+            // Entries have no service, and neither has an agent whose service the manifest does not name.
+            if (!agent || (own != ServiceId() && member.service == own))
                 members.push_back(member.id);
         }
     }
