--- /dev/null
+++ b/daemons/agent_daemon.cc
@@ -0,0 +1,138 @@
+#include "agent_daemon.h"
+
+#include <boost/asio/post.hpp>
+
+namespace cicadaward {
+
+namespace detail {
+
+    constexpr size_t controlRingSize = 1024;
+    // Time for the drain announcement to reach the other processes after the last request has ended.
+    constexpr auto stopMargin = std::chrono::seconds(1);
+
+} // namespace detail
+
+AgentDaemon::AgentDaemon(DaemonBase& base, const Settings& settings)
+    : m_base(base)
+    , m_stopLimit(settings.duration("stop.limit-ms"))
+    , m_drops(*base.log, DaemonBase::clock())
+    , m_control("control")
+    , m_fromPackets(detail::controlRingSize, m_control.context(),
+          [this](ControlInput&& input) { std::visit([this](const auto& each) { handleInput(each); }, input); })
+    , m_fromRequests(detail::controlRingSize, m_control.context(),
+          [this](ControlInput&& input) { std::visit([this](const auto& each) { handleInput(each); }, input); })
+    , m_packets(
+          base, m_drops, settings, [this](RequestsInput&& input) { m_requests.fromPackets(std::move(input)); },
+          [this](ControlInput&& input) { m_fromPackets.push(std::move(input)); })
+    , m_requests(
+          base, settings, [this](PacketsInput&& input) { m_packets.fromRequests(std::move(input)); },
+          [this](ControlInput&& input) { m_fromRequests.push(std::move(input)); },
+          [this](const uint8_t* packet, size_t size) { m_packets.fromEndpoint(packet, size); })
+{
+    m_link = std::make_unique<ControlLink>(
+        base, settings.endpoints("control.peers"), clientSettings(settings), m_control.context(), linkHandlers());
+    m_control.every(std::chrono::milliseconds(50), [this] { m_link->tick(); });
+    m_control.every(std::chrono::seconds(1), [this] {
+        m_drops.report();
+        m_base.metrics.gauge("control.bytes_sent").set(static_cast<int64_t>(m_link->bytesSent()));
+        m_base.metrics.gauge("control.bytes_received").set(static_cast<int64_t>(m_link->bytesReceived()));
+    });
+    if (settings.isSet("admin.listen")) {
+        m_admin = std::make_unique<HttpServer>(m_control.context(), toEndpoint(settings.endpoint("admin.listen")),
+            [this](
+                const HttpRequest&, const HttpReply& reply) { reply(200, "application/json", m_base.metrics.json()); });
+    }
+}
+
+AgentDaemon::~AgentDaemon()
+{
+    m_control.stop();
+    m_requests.stop();
+    m_packets.stop();
+}
+
+ControlLinkHandlers AgentDaemon::linkHandlers()
+{
+    ControlLinkHandlers handlers;
+    handlers.directory = [this](const std::shared_ptr<const Directory>& directory) {
+        m_packets.fromControl(PacketsDirectory { directory });
+        m_requests.fromControl(RequestsDirectory { directory });
+    };
+    handlers.contact = [this](Time backedAt, DirectoryVersion newest) {
+        m_packets.fromControl(PacketsContact { backedAt, newest });
+        m_requests.fromControl(RequestsContact { true, newest });
+    };
+    handlers.contactChanged = [this](control::Contact contact) {
+        if (contact != control::Contact::Valid)
+            m_requests.fromControl(RequestsContact {});
+    };
+    return handlers;
+}
+
+control::ControlClientSettings AgentDaemon::clientSettings(const Settings& settings) const
+{
+    control::ControlClientSettings client;
+    client.record.name = settings.text("instance.name");
+    client.record.role = MemberRole::Agent;
+    client.record.state = MemberState::TargetDown;
+    client.record.service = settings.text("service.name");
+    client.record.dataCentre = settings.text("instance.data-centre");
+    client.record.tunnel = toEndpoint(settings.endpoint("listen.tunnel"));
+    client.record.process = m_base.process;
+    client.record.intervalMs = static_cast<uint32_t>(settings.duration("control.announce-interval-ms").count());
+    client.instanceElsewhere.assign(settings.endpoints("control.peers").size(), false);
+    client.isolationLimit = settings.duration("control.isolation-ms");
+    return client;
+}
+
+absl::Status AgentDaemon::start()
+{
+    if (!m_packets.status().ok())
+        return m_packets.status();
+    if (m_admin && !m_admin->status().ok())
+        return m_admin->status();
+    m_packets.start();
+    m_requests.start();
+    m_control.start();
+    return absl::OkStatus();
+}
+
+void AgentDaemon::stop()
+{
+    boost::asio::post(m_control.context(), [this] {
+        m_draining = true;
+        announceState();
+    });
+    m_requests.drain(m_stopLimit);
+    std::unique_lock<std::mutex> lock(m_mutex);
+    m_changed.wait_for(lock, m_stopLimit + detail::stopMargin, [this] { return m_drained; });
+}
+
+void AgentDaemon::handleInput(const ControlVersionSeen& input) { m_link->versionSeen(input.version); }
+
+void AgentDaemon::handleInput(const ControlTarget& input)
+{
+    m_condition = input.condition;
+    announceState();
+}
+
+void AgentDaemon::handleInput(const ControlDrained& input)
+{
+    if (!input.complete)
+        m_base.log->write(EventId::StopLimitReached, {});
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_drained = true;
+    m_changed.notify_all();
+}
+
+void AgentDaemon::announceState()
+{
+    MemberState state = MemberState::Warm;
+    if (m_condition.state == TargetState::Down)
+        state = MemberState::TargetDown;
+    else if (m_draining || m_condition.state == TargetState::Draining)
+        state = MemberState::Draining;
+    m_link->stateChanged(state, m_condition.incarnation);
+}
+
+} // namespace cicadaward
--- /dev/null
+++ b/daemons/agent_daemon.h
@@ -0,0 +1,51 @@
+// The agent: the process beside each target. It joins three duties, each with a thread of its own: packets (flows),
+// requests (HTTP and the target), and control (the link to the control instances, metrics, planned stop).
+#pragma once
+
+#include "agent_packets.h"
+#include "agent_requests_duty.h"
+#include "control_link.h"
+#include "net/http_server.h"
+
+#include <condition_variable>
+#include <mutex>
+
+namespace cicadaward {
+
+class AgentDaemon {
+public:
+    AgentDaemon(DaemonBase&, const Settings&);
+    ~AgentDaemon();
+
+    absl::Status start();
+    // Announces that the agent drains, lets running requests finish, and returns when they have or the limit has
+    // passed. Packets of flows are forwarded until the end.
+    void stop();
+
+private:
+    void handleInput(const ControlVersionSeen&);
+    void handleInput(const ControlOtherDataCentre&) { m_link->otherDataCentreHeard(); }
+    void handleInput(const ControlTarget&);
+    void handleInput(const ControlDrained&);
+    void announceState();
+    control::ControlClientSettings clientSettings(const Settings&) const;
+    ControlLinkHandlers linkHandlers();
+
+    DaemonBase& m_base;
+    Duration m_stopLimit;
+    DropLog m_drops;
+    Duty m_control;
+    WakingRing<ControlInput> m_fromPackets;
+    WakingRing<ControlInput> m_fromRequests;
+    AgentPackets m_packets;
+    AgentRequestsDuty m_requests;
+    std::unique_ptr<ControlLink> m_link;
+    std::unique_ptr<HttpServer> m_admin;
+    TargetCondition m_condition;
+    bool m_draining = false;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_drained = false;
+};
+
+} // namespace cicadaward
--- /dev/null
+++ b/daemons/agent_messages.h
@@ -0,0 +1,76 @@
+// Messages between the threads of an agent, each carried by a bounded ring.
+#pragma once
+
+#include "admission/target_admission.h"
+#include "admission/target_monitor.h"
+#include "control/control_client.h"
+#include "net/tcp_endpoint.h"
+#include "net/waking_ring.h"
+
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace cicadaward {
+
+// To the packets thread.
+struct PacketsDirectory {
+    std::shared_ptr<const Directory> directory;
+};
+struct PacketsContact {
+    Time backedAt;
+    DirectoryVersion newest;
+};
+struct PacketsTarget {
+    TargetCondition condition;
+};
+struct PacketsPeerMessage { // of the request machine
+    MemberId to;
+    std::string bytes;
+};
+struct PacketsWork { // a request has ended at the target
+    Outcome outcome = Outcome::Completed;
+    Duration latency {};
+};
+struct PacketsEndpoint { // takes the packets of request ports; null while there is none
+    std::shared_ptr<TcpEndpoint> endpoint;
+};
+using PacketsInput
+    = std::variant<PacketsDirectory, PacketsContact, PacketsTarget, PacketsPeerMessage, PacketsWork, PacketsEndpoint>;
+
+// To the requests thread.
+struct RequestsDirectory {
+    std::shared_ptr<const Directory> directory;
+};
+struct RequestsContact {
+    bool renewed = false;
+    DirectoryVersion newest; // at the instance that answered
+};
+struct RequestsPeerMessage {
+    MemberId from;
+    std::string bytes;
+};
+struct RequestsSlots {
+    uint32_t slots = 0;
+};
+struct RequestsRefusal { // connections from this caller end point are answered "not run"
+    Endpoint caller;
+};
+struct RequestsTraffic { }; // the target has sent a packet
+using RequestsInput = std::variant<RequestsDirectory, RequestsContact, RequestsPeerMessage, RequestsSlots,
+    RequestsRefusal, RequestsTraffic>;
+
+// To the control thread.
+struct ControlVersionSeen {
+    DirectoryVersion version;
+};
+struct ControlOtherDataCentre { };
+struct ControlTarget {
+    TargetCondition condition;
+};
+struct ControlDrained { // every request has ended and the records are handed over, or the limit has passed
+    bool complete = false;
+};
+using ControlInput = std::variant<ControlVersionSeen, ControlOtherDataCentre, ControlTarget, ControlDrained>;
+
+} // namespace cicadaward
--- /dev/null
+++ b/daemons/agent_packets.h
@@ -0,0 +1,103 @@
+// The packets duty of an agent: drives the flow machine with datagrams from the tunnel, packets from the target and
+// packets of the agent's own TCP end point, and carries out its actions.
+//
+// One thread. Input from the other threads comes through bounded rings; a full ring drops packets, as a network would,
+// and refuses commands, which their senders repeat.
+#pragma once
+
+#include "agent_messages.h"
+#include "auth/replay_window.h"
+#include "daemon.h"
+#include "flow/agent_flows.h"
+#include "net/tcp_endpoint.h"
+#include "net/udp_port.h"
+#include "observe/drop_log.h"
+
+#include <absl/container/flat_hash_map.h>
+
+namespace cicadaward {
+
+class AgentPackets {
+public:
+    // `toRequests` and `toControl` are called on the packets thread.
+    AgentPackets(DaemonBase&, DropLog&, const Settings&, std::function<void(RequestsInput&&)> toRequests,
+        std::function<void(ControlInput&&)> toControl);
+
+    absl::Status status() const;
+    void start() { m_duty.start(); }
+    void stop()
+    {
+        m_duty.stop();
+        m_endpoint.reset();
+    }
+
+    // From the control thread and the requests thread.
+    void fromControl(PacketsInput&& input) { m_fromControl.push(std::move(input)); }
+    void fromRequests(PacketsInput&& input) { m_fromRequests.push(std::move(input)); }
+    // A packet of the TCP end point, from whichever thread holds the stack's lock.
+    void fromEndpoint(const uint8_t* packet, size_t size);
+
+private:
+    void handleTunnel(Endpoint sender, uint8_t* data, size_t size);
+    void handleTargetPacket(uint8_t* data, size_t size);
+    void handle(const flow::AgentEvent&);
+    void noteSender(Endpoint sender, const TunnelHeader&);
+
+    void handleInput(const PacketsDirectory&);
+    void handleInput(const PacketsContact&);
+    void handleInput(const PacketsTarget&);
+    void handleInput(const PacketsPeerMessage&);
+    void handleInput(const PacketsWork&);
+    void handleInput(const PacketsEndpoint&);
+
+    void perform(const flow::SendTunnel&);
+    void perform(const flow::SendPeer&);
+    void perform(const flow::DeliverPacket&);
+    void perform(const flow::SendToCaller&);
+    void perform(const flow::RequestDirectory&);
+    void sendTunnel(Endpoint to, const TunnelHeader&, const uint8_t* payload, size_t size, MessagePurpose);
+
+    void tick();
+    void reportSlots();
+    void reportMetrics();
+
+    DaemonBase& m_base;
+    DropLog& m_drops;
+    std::string m_serviceName;
+    std::string m_dataCentreName;
+    MemberId m_self;
+    Endpoint m_fabricReturn;
+    Endpoint m_targetPackets;
+    size_t m_maxFlows;
+    std::chrono::milliseconds m_lease;
+    std::chrono::milliseconds m_isolation;
+    std::function<void(RequestsInput&&)> m_toRequests;
+    std::function<void(ControlInput&&)> m_toControl;
+
+    Duty m_duty;
+    Random m_random;
+    Authenticator m_authenticator;
+    MessageSequence m_sequence;
+    ReplayGuard m_replays;
+    std::shared_ptr<const Directory> m_directory;
+    ServiceId m_service;
+    DataCentreId m_dataCentre;
+    std::unique_ptr<TargetAdmission> m_admission;
+    std::unique_ptr<flow::AgentFlows> m_flows;
+    std::optional<flow::AgentEvent> m_targetEvent; // the last one, for a machine that is created later
+    std::optional<flow::ControlContact> m_contact;
+    flow::Actions m_actions;
+    std::shared_ptr<TcpEndpoint> m_endpoint;
+    uint32_t m_reportedSlots = UINT32_MAX;
+    bool m_reportedDown = true;
+    Time m_otherDataCentreNoted;
+    absl::flat_hash_map<uint64_t, Time> m_noticed; // entries that were told of a newer directory
+    std::vector<uint8_t> m_buffer;
+    UdpPort m_tunnel;
+    UdpPort m_target;
+    WakingRing<PacketsInput> m_fromControl;
+    WakingRing<PacketsInput> m_fromRequests;
+    WakingRing<std::vector<uint8_t>> m_fromEndpoint;
+};
+
+} // namespace cicadaward
--- /dev/null
+++ b/daemons/agent_requests_duty.h
@@ -0,0 +1,98 @@
+// The requests duty of an agent: reads HTTP from the TCP end point, drives the request machine, runs requests at the
+// local target and watches the target's health.
+//
+// One thread. The TCP end point calls in on other threads; its events come through a bounded ring.
+#pragma once
+
+#include "agent_messages.h"
+#include "daemon.h"
+#include "net/http_client.h"
+#include "request/agent_requests.h"
+#include "request/http_reader.h"
+
+#include <map>
+#include <set>
+
+namespace cicadaward {
+
+class AgentRequestsDuty {
+public:
+    // `toPackets` and `toControl` are called on the requests thread, `endpointOutput` with the TCP stack's lock held.
+    AgentRequestsDuty(DaemonBase&, const Settings&, std::function<void(PacketsInput&&)> toPackets,
+        std::function<void(ControlInput&&)> toControl, TcpEndpoint::Output endpointOutput);
+    ~AgentRequestsDuty();
+
+    void start() { m_duty.start(); }
+    // Ends the thread, then the TCP end point, whose events must not outlive the ring.
+    void stop();
+
+    void fromPackets(RequestsInput&& input) { m_fromPackets.push(std::move(input)); }
+    void fromControl(RequestsInput&& input) { m_fromControl.push(std::move(input)); }
+    void drain(Duration limit); // from any thread; ends with ControlDrained
+
+private:
+    struct Connection {
+        Connection(const request::HttpLimits&, Endpoint callerEndpoint);
+
+        request::HttpReader reader;
+        Endpoint caller;
+        bool busy = false; // a request is with the machine
+    };
+
+    void handleTcp(const TcpEvent&);
+    void readRequests(ConnectionId);
+    void closeConnection(ConnectionId);
+    bool isRefused(const Connection&) const;
+
+    void handleInput(const RequestsDirectory&);
+    void handleInput(const RequestsContact&);
+    void handleInput(const RequestsPeerMessage&);
+    void handleInput(const RequestsSlots&);
+    void handleInput(const RequestsRefusal&);
+    void handleInput(const RequestsTraffic&) { m_monitor.trafficSeen(); }
+
+    void handle(request::RequestEvent);
+    void perform(const request::SendToTarget&);
+    void perform(const request::CancelAttempt&);
+    void perform(const request::WriteReply&);
+    void perform(const request::SendPeerMessage&);
+    void perform(const request::Count&);
+    void perform(const request::DrainFinished&);
+    void targetFinished(request::AttemptId, Time started, HttpResult);
+
+    void createMachine();
+    void createEndpoint(const Service&);
+    void pollHealth();
+    void healthFinished(HttpResult);
+    void conditionChanged();
+    void reportMetrics();
+
+    DaemonBase& m_base;
+    std::string m_serviceName;
+    MemberId m_self;
+    std::chrono::milliseconds m_lease;
+    size_t m_maxRequests;
+    request::HttpLimits m_httpLimits;
+    std::function<void(PacketsInput&&)> m_toPackets;
+    std::function<void(ControlInput&&)> m_toControl;
+    TcpEndpoint::Output m_endpointOutput;
+
+    Duty m_duty;
+    Random m_random;
+    std::shared_ptr<const Directory> m_directory;
+    ServiceId m_service;
+    std::unique_ptr<request::AgentRequests> m_machine;
+    uint32_t m_slots = 0;
+    std::shared_ptr<TcpEndpoint> m_endpoint;
+    std::map<uint64_t, Connection> m_connections; // by ConnectionId
+    std::set<std::pair<uint32_t, uint16_t>> m_refused; // callers' end points
+    HttpClient m_target;
+    HttpClient m_health;
+    uint64_t m_healthCall = 0;
+    TargetMonitor m_monitor;
+    WakingRing<RequestsInput> m_fromPackets;
+    WakingRing<RequestsInput> m_fromControl;
+    WakingRing<TcpEvent> m_fromEndpoint;
+};
+
+} // namespace cicadaward
--- /dev/null
+++ b/daemons/control_daemon.cc
@@ -0,0 +1,124 @@
+#include "control_daemon.h"
+
+#include <csignal>
+#include <fstream>
+#include <openssl/crypto.h>
+#include <sys/stat.h>
+
+namespace cicadaward {
+
+namespace detail {
+
+    constexpr size_t adminRingSize = 1024;
+    constexpr size_t maxAdminCalls = 256;
+
+    // The token is the first line of a file that only its owner may read.
+    absl::Status readToken(const std::string& path, std::string& token)
+    {
+        struct stat info { };
+        if (stat(path.c_str(), &info) != 0)
+            return absl::NotFoundError("cannot read the token file " + path);
+        if ((info.st_mode & (S_IRWXO | S_IWGRP)) != 0)
+            return absl::PermissionDeniedError("the token file " + path + " is open to others; use mode 0600");
+        std::ifstream file(path);
+        if (!std::getline(file, token) || token.size() < 16)
+            return absl::InvalidArgumentError("the token in " + path + " has fewer than 16 bytes");
+        return absl::OkStatus();
+    }
+
+} // namespace detail
+
+ControlDaemon::ControlDaemon(DaemonBase& base, const Settings& settings)
+    : m_base(base)
+    , m_admin("admin")
+    , m_adminAnswers(detail::adminRingSize, m_admin.context(), [this](AdminAnswer&& answer) { answerAdmin(answer); })
+{
+    m_network = std::make_unique<ControlNetwork>(
+        base, settings, [this](DecisionsInput&& input) { return m_decisions->fromNetwork(std::move(input)); });
+    m_decisions = std::make_unique<ControlDecisions>(
+        base, settings, [this](NetworkInput&& input) { return m_network->push(std::move(input)); },
+        [this](AdminAnswer&& answer) { return m_adminAnswers.push(std::move(answer)); }, [] { raise(SIGTERM); });
+    if (!settings.isSet("admin.listen"))
+        return;
+    if (!settings.isSet("admin.token-file")) {
+        m_status = absl::InvalidArgumentError("admin.listen needs admin.token-file");
+        return;
+    }
+    m_status = detail::readToken(settings.path("admin.token-file"), m_token);
+    m_server = std::make_unique<HttpServer>(m_admin.context(), toEndpoint(settings.endpoint("admin.listen")),
+        [this](const HttpRequest& request, HttpReply reply) { handleAdmin(request, std::move(reply)); });
+}
+
+ControlDaemon::~ControlDaemon() { stop(); }
+
+absl::Status ControlDaemon::start()
+{
+    if (!m_status.ok())
+        return m_status;
+    if (m_server && !m_server->status().ok())
+        return m_server->status();
+    absl::Status status = m_decisions->open();
+    if (!status.ok())
+        return status;
+    m_decisions->start();
+    m_admin.start();
+    return m_network->start();
+}
+
+void ControlDaemon::stop()
+{
+    m_decisions->stop();
+    m_network->stop();
+    m_admin.stop();
+}
+
+bool ControlDaemon::isAuthorized(const HttpRequest& request) const
+{
+    std::string expected = "Bearer " + m_token;
+    auto field = request.find(boost::beast::http::field::authorization);
+    return field != request.end() && field->value().size() == expected.size()
+        && CRYPTO_memcmp(field->value().data(), expected.data(), expected.size()) == 0;
+}
+
+void ControlDaemon::handleAdmin(const HttpRequest& request, HttpReply reply)
+{
+    if (!isAuthorized(request)) {
+        m_base.log->write(EventId::AdminRefused, { { "reason", "wrong or missing token" } });
+        reply(401, "application/json", R"({"error":"wrong or missing bearer token"})");
+        return;
+    }
+    std::string path(request.target().data(), request.target().size());
+    if (path == "/v1/metrics") {
+        reply(200, "application/json", m_base.metrics.json());
+        return;
+    }
+    if (m_adminCalls.size() >= detail::maxAdminCalls) {
+        reply(503, "application/json", R"({"error":"too many open calls"})");
+        return;
+    }
+    AdminCall call;
+    call.call = ++m_lastCall;
+    call.method = std::string(request.method_string());
+    call.path = path;
+    call.body = request.body();
+    auto who = request.find("Operator");
+    call.who = who == request.end() ? "" : std::string(who->value().substr(0, 128));
+    uint64_t id = call.call;
+    m_adminCalls[id] = reply;
+    if (!m_decisions->fromAdmin(std::move(call))) {
+        m_adminCalls.erase(id);
+        reply(503, "application/json", R"({"error":"too many waiting calls"})");
+    }
+}
+
+void ControlDaemon::answerAdmin(const AdminAnswer& answer)
+{
+    auto found = m_adminCalls.find(answer.call);
+    if (found == m_adminCalls.end())
+        return;
+    HttpReply reply = std::move(found->second);
+    m_adminCalls.erase(found);
+    reply(answer.status, "application/json", answer.body);
+}
+
+} // namespace cicadaward
--- /dev/null
+++ b/daemons/control_daemon.h
@@ -0,0 +1,37 @@
+// A control instance: joins the decisions, the network and the administration API, each with a thread of its own.
+#pragma once
+
+#include "control_decisions.h"
+#include "control_network.h"
+#include "net/http_server.h"
+
+#include <absl/container/flat_hash_map.h>
+
+namespace cicadaward {
+
+class ControlDaemon {
+public:
+    ControlDaemon(DaemonBase&, const Settings&);
+    ~ControlDaemon();
+
+    absl::Status start();
+    void stop();
+
+private:
+    void handleAdmin(const HttpRequest&, HttpReply);
+    void answerAdmin(const AdminAnswer&);
+    bool isAuthorized(const HttpRequest&) const;
+
+    DaemonBase& m_base;
+    std::string m_token;
+    absl::Status m_status;
+    Duty m_admin;
+    WakingRing<AdminAnswer> m_adminAnswers;
+    std::unique_ptr<ControlNetwork> m_network;
+    std::unique_ptr<ControlDecisions> m_decisions;
+    std::unique_ptr<HttpServer> m_server;
+    absl::flat_hash_map<uint64_t, HttpReply> m_adminCalls;
+    uint64_t m_lastCall = 0;
+};
+
+} // namespace cicadaward
--- /dev/null
+++ b/daemons/control_decisions.cc
@@ -0,0 +1,414 @@
+#include "control_decisions.h"
+
+#include "control_admin.h"
+#include "raft/codec.h"
+
+#include <boost/asio/post.hpp>
+#include <future>
+
+namespace cicadaward {
+
+namespace detail {
+
+    constexpr size_t decisionsRingSize = 8192;
+    constexpr auto decisionsTick = std::chrono::milliseconds(20);
+    constexpr LogIndex snapshotEntries = 256; // entries between two snapshots
+    constexpr auto helloLifetime = std::chrono::seconds(5);
+    constexpr const char* adminPath = "admin";
+
+} // namespace detail
+
+ControlDecisions::ControlDecisions(DaemonBase& base, const Settings& settings,
+    std::function<bool(NetworkInput&&)> toNetwork, std::function<bool(AdminAnswer&&)> toAdmin,
+    std::function<void()> failed)
+    : m_base(base)
+    , m_name(settings.text("instance.name"))
+    , m_folder(settings.path("data.folder"))
+    , m_bootstrap(settings.flag("control.bootstrap"))
+    , m_electionTimeout(settings.duration("raft.election-timeout-ms"))
+    , m_toNetwork(std::move(toNetwork))
+    , m_toAdmin(std::move(toAdmin))
+    , m_failed(std::move(failed))
+    , m_duty("decisions")
+    , m_random(base.seed)
+    , m_fromNetwork(detail::decisionsRingSize, m_duty.context(),
+          [this](DecisionsInput&& input) { std::visit([this](const auto& each) { handleInput(each); }, input); })
+    , m_fromAdmin(detail::decisionsRingSize, m_duty.context(),
+          [this](DecisionsInput&& input) { std::visit([this](const auto& each) { handleInput(each); }, input); })
+{
+    control::ControlInstanceSettings instance;
+    for (const ConfiguredEndpoint& peer : settings.endpoints("control.peers")) {
+        control::ControlInstanceId id(static_cast<uint32_t>(m_peers.size()) + 1);
+        if (peer.name == m_name) {
+            m_selfIndex = static_cast<uint32_t>(m_peers.size());
+            instance.id = id;
+        } else
+            instance.others.push_back(id);
+        m_peers.push_back({ peer.name, InstanceId(), Time() });
+    }
+    m_instance = std::make_unique<control::ControlInstance>(DaemonBase::clock(), m_random, instance);
+    m_duty.every(detail::decisionsTick, [this] { tick(); });
+    m_duty.every(std::chrono::seconds(1), [this] {
+        sendHellos();
+        maintainGroup();
+        reportMetrics();
+    });
+}
+
+absl::Status ControlDecisions::open()
+{
+    auto store = Store::open(m_files, m_folder, m_random);
+    if (!store.ok())
+        return store.status();
+    m_store = std::move(*store);
+    StoreContents contents = m_store->takeContents();
+    if (m_bootstrap && contents.empty()) {
+        StoreBatch batch = raft::bootstrapBatch({ m_store->instance() });
+        absl::Status status = m_store->write(batch);
+        if (!status.ok())
+            return status;
+        contents.state = batch.state.value_or(HardState {});
+        contents.entries = batch.entries;
+        contents.snapshot = batch.snapshot.value_or(LogSnapshot {});
+    }
+    m_peers[m_selfIndex].instance = m_store->instance();
+    raft::RaftOptions options;
+    options.electionTimeout = m_electionTimeout;
+    options.heartbeatInterval = m_electionTimeout / 6;
+    m_raft = std::make_unique<raft::Raft>(options, DaemonBase::clock(), m_random, std::move(contents));
+    return absl::OkStatus();
+}
+
+// Hands over leadership before the thread ends, so that a planned stop of the leader costs no election timeout.
+void ControlDecisions::stop()
+{
+    if (m_raft && !m_stopped) {
+        auto ready = std::make_shared<std::promise<void>>();
+        auto future = ready->get_future();
+        boost::asio::post(m_duty.context(), [this, ready] {
+            m_stopReady = [ready] { ready->set_value(); };
+            handle(raft::Stop {});
+        });
+        future.wait_for(std::chrono::seconds(2));
+    }
+    m_stopped = true;
+    m_duty.stop();
+}
+
+void ControlDecisions::tick()
+{
+    handle(raft::Tick {});
+    if (m_raft->isLeader() && m_raft->canRead())
+        handle(control::QuorumHeard { DaemonBase::clock().now() - m_electionTimeout });
+    handle(control::Tick {});
+}
+
+void ControlDecisions::handleInput(const CallReceived& call)
+{
+    if (call.path == "/hello") {
+        takeHello(call.payload);
+        m_toNetwork(ReplyToCall { call.call, hello() });
+    } else if (call.path == "/raft") {
+        raft::RaftMessage message;
+        m_toNetwork(ReplyToCall { call.call, "" });
+        if (decodeMessage(call.payload, message))
+            handle(raft::MessageReceived { std::move(message) });
+    } else if (call.path == "/instance") {
+        m_toNetwork(ReplyToCall { call.call, "" });
+        control::InstanceMessage message;
+        for (size_t i = 0; i < m_peers.size(); ++i) {
+            if (control::memberIdOf(m_peers[i].name) != call.sender)
+                continue;
+            if (control::decodeInstanceMessage(call.payload, message))
+                handle(control::InstanceMessageReceived {
+                    control::ControlInstanceId(static_cast<uint32_t>(i) + 1), message });
+        }
+    } else if (call.path == "/announce") {
+        control::Announcement announcement;
+        if (!decodeMessage(call.payload, announcement))
+            return;
+        m_calls[++m_lastRequest] = { call.call, "" };
+        handle(control::AnnounceReceived { control::RequestId(m_lastRequest), std::move(announcement) });
+    } else if (call.path == "/watch") {
+        control::WatchRequest watch;
+        if (!decodeMessage(call.payload, watch))
+            return;
+        m_calls[++m_lastRequest] = { call.call, "" };
+        handle(control::WatchReceived { control::RequestId(m_lastRequest), std::move(watch) });
+    }
+}
+
+void ControlDecisions::handleInput(const PeerReplied& reply)
+{
+    if (reply.path == "/hello")
+        takeHello(reply.payload);
+}
+
+void ControlDecisions::handleInput(const AdminCall& call)
+{
+    if (call.method == "GET")
+        adminRead(call);
+    else if (!adminChange(call))
+        m_toAdmin({ call.call, 404, R"({"error":"no such path"})" });
+}
+
+void ControlDecisions::adminRead(const AdminCall& call)
+{
+    if (call.path == "/v1/members")
+        m_toAdmin({ call.call, 200, membersJson() });
+    else if (call.path == "/v1/manifest")
+        m_toAdmin({ call.call, 200, formatManifest(m_instance->manifests().manifest()) });
+    else if (call.path == "/v1/status") {
+        m_calls[++m_lastRequest] = { call.call, detail::adminPath };
+        handle(control::StatusReceived { control::RequestId(m_lastRequest) });
+    } else
+        m_toAdmin({ call.call, 404, R"({"error":"no such path"})" });
+}
+
+bool ControlDecisions::adminChange(const AdminCall& call)
+{
+    control::ManifestCommand command;
+    if (!parseAdminChange(call, command))
+        return false;
+    m_calls[++m_lastRequest] = { call.call, detail::adminPath };
+    handle(control::CommandReceived { control::RequestId(m_lastRequest), std::move(command) });
+    return true;
+}
+
+std::string ControlDecisions::membersJson() const
+{
+    auto directory = m_instance->relay().current();
+    return formatMembers(directory ? *directory : Directory {});
+}
+
+std::string ControlDecisions::hello() const { return encodeMessage(Hello { m_name, m_store->instance() }); }
+
+void ControlDecisions::takeHello(const std::string& payload)
+{
+    Hello hello;
+    if (!decodeMessage(payload, hello))
+        return;
+    for (Peer& peer : m_peers) {
+        if (peer.name == hello.name && peer.name != m_name) {
+            peer.instance = hello.instance;
+            peer.heard = DaemonBase::clock().now();
+        }
+    }
+}
+
+void ControlDecisions::sendHellos()
+{
+    for (uint32_t i = 0; i < m_peers.size(); ++i) {
+        if (i != m_selfIndex)
+            post(i, "/hello", hello());
+    }
+}
+
+void ControlDecisions::maintainGroup()
+{
+    if (!m_raft->isLeader() || !m_raft->canRead())
+        return;
+    m_peers[m_selfIndex].heard = DaemonBase::clock().now();
+    const raft::Configuration& group = m_raft->configuration();
+    bool allVote = true;
+    for (const Peer& peer : m_peers) {
+        bool alive = peer.instance != InstanceId() && DaemonBase::clock().now() - peer.heard < detail::helloLifetime;
+        if (alive && !group.has(peer.instance)) {
+            handle(raft::ChangeMembership { ++m_raftRequest, raft::MembershipChange::AddLearner, peer.instance });
+            return;
+        }
+        allVote = allVote && alive && group.isVoter(peer.instance);
+    }
+    if (!allVote)
+        return;
+    for (InstanceId id : group.voters) {
+        if (peerIndex(id) == m_peers.size()) {
+            handle(raft::ChangeMembership { ++m_raftRequest, raft::MembershipChange::Remove, id });
+            return;
+        }
+    }
+}
+
+uint32_t ControlDecisions::peerIndex(InstanceId id) const
+{
+    uint32_t index = 0;
+    while (index < m_peers.size() && m_peers[index].instance != id)
+        ++index;
+    return index;
+}
+
+control::ControlInstanceId ControlDecisions::controlId(InstanceId id) const
+{
+    uint32_t index = id == InstanceId() ? static_cast<uint32_t>(m_peers.size()) : peerIndex(id);
+    return control::ControlInstanceId(index < m_peers.size() ? index + 1 : 0);
+}
+
+void ControlDecisions::post(uint32_t peer, const char* path, std::string payload)
+{
+    m_toNetwork(PostToPeer { peer, path, std::move(payload) });
+}
+
+// Actions may bring new events; they are handled after the actions of the present one, so that the order is kept.
+void ControlDecisions::handle(raft::RaftEvent event)
+{
+    if (m_stopped)
+        return;
+    m_followUps.push_back(std::move(event));
+    if (std::exchange(m_handling, true))
+        return;
+    for (size_t i = 0; i < m_followUps.size() && !m_stopped; ++i) {
+        raft::RaftEvent next = std::move(m_followUps[i]);
+        for (raft::RaftAction& action : m_raft->handle(std::move(next)))
+            std::visit([this](auto& each) { perform(each); }, action);
+    }
+    m_followUps.clear();
+    m_handling = false;
+}
+
+void ControlDecisions::perform(raft::SendMessage& action)
+{
+    uint32_t peer = peerIndex(action.message.to);
+    if (peer < m_peers.size() && peer != m_selfIndex)
+        post(peer, "/raft", encodeMessage(action.message));
+}
+
+void ControlDecisions::perform(raft::Persist& action)
+{
+    absl::Status status = m_store->write(action.batch);
+    if (!status.ok()) {
+        m_base.log->write(EventId::StoreFailed, { { "reason", std::string(status.message()) } });
+        m_stopped = true;
+        m_failed();
+        return;
+    }
+    handle(raft::Persisted { action.ticket });
+}
+
+void ControlDecisions::perform(raft::ApplyEntries& action)
+{
+    for (LogEntry& entry : action.entries) {
+        m_applied = entry.index;
+        if (entry.kind == EntryKind::Command)
+            handle(control::EntryApplied { entry.index, std::move(entry.data) });
+        if (m_pendingLeadership && entry.term == *m_pendingLeadership) {
+            m_pendingLeadership.reset();
+            handle(control::LeadershipGained { entry.term });
+        }
+    }
+    if (m_applied - m_snapshotIndex >= detail::snapshotEntries)
+        takeSnapshot();
+}
+
+void ControlDecisions::takeSnapshot()
+{
+    m_snapshotIndex = m_applied;
+    m_base.log->write(EventId::SnapshotTaken, { { "index", m_applied } });
+    handle(raft::SnapshotTaken { m_applied, m_instance->manifests().snapshot() });
+}
+
+void ControlDecisions::perform(raft::InstallSnapshot& action)
+{
+    m_applied = action.snapshot.index;
+    m_snapshotIndex = m_applied;
+    m_base.log->write(EventId::SnapshotInstalled, { { "index", m_applied } });
+    handle(control::SnapshotInstalled { std::move(action.snapshot.data) });
+}
+
+void ControlDecisions::perform(raft::BecameLeader& action)
+{
+    m_base.log->write(EventId::BecameLeader, { { "term", action.term.value() } });
+    m_pendingLeadership = action.term;
+}
+
+void ControlDecisions::perform(raft::BecameFollower& action)
+{
+    m_pendingLeadership.reset();
+    m_base.log->write(EventId::BecameFollower, { { "term", action.term.value() } });
+    handle(control::LeaderChanged { action.term, controlId(action.leader) });
+}
+
+void ControlDecisions::perform(raft::RequestResult&) { }
+
+void ControlDecisions::perform(raft::StopReady&)
+{
+    if (m_stopReady)
+        std::exchange(m_stopReady, nullptr)();
+}
+
+void ControlDecisions::handle(const control::ControlEvent& event)
+{
+    for (const control::ControlAction& action : m_instance->handle(event))
+        std::visit([this](const auto& each) { perform(each); }, action);
+}
+
+void ControlDecisions::perform(const control::ProposeCommand& action)
+{
+    handle(raft::Propose { ++m_raftRequest, action.command });
+}
+
+void ControlDecisions::perform(const control::SendToInstance& action)
+{
+    uint32_t peer = action.to.value() - 1;
+    if (peer < m_peers.size())
+        post(peer, "/instance", control::encodeInstanceMessage(action.message));
+}
+
+void ControlDecisions::perform(const control::SendToAllInstances& action)
+{
+    std::string payload = control::encodeInstanceMessage(action.message);
+    for (uint32_t i = 0; i < m_peers.size(); ++i) {
+        if (i != m_selfIndex)
+            post(i, "/instance", payload);
+    }
+}
+
+void ControlDecisions::perform(const control::AnswerRequest& action)
+{
+    auto found = m_calls.find(action.request.value());
+    if (found == m_calls.end())
+        return;
+    auto [call, path] = found->second;
+    m_calls.erase(found);
+    if (path == detail::adminPath)
+        answerAdmin(call, action.answer);
+    else if (auto* announce = std::get_if<control::AnnounceReply>(&action.answer))
+        m_toNetwork(ReplyToCall { call, encodeMessage(*announce) });
+    else if (auto* watch = std::get_if<control::WatchReply>(&action.answer))
+        m_toNetwork(ReplyToCall { call, encodeMessage(*watch) });
+}
+
+void ControlDecisions::answerAdmin(uint64_t call, const control::ControlAnswer& answer)
+{
+    if (auto* result = std::get_if<control::ManifestResult>(&answer)) {
+        EventId event = EventId::ManifestRefused;
+        if (result->outcome == control::ManifestOutcome::Accepted)
+            event = EventId::ManifestAccepted;
+        else if (result->outcome == control::ManifestOutcome::Conflict)
+            event = EventId::ManifestConflict;
+        m_base.log->write(
+            event, { { "version", result->version }, { "epoch", result->epoch.value() }, { "who", result->who } });
+        m_toAdmin({ call, adminStatus(result->outcome), formatResult(*result) });
+    } else if (auto* status = std::get_if<control::StatusReply>(&answer)) {
+        std::string leader = status->leader.value() == 0 ? "" : m_peers[status->leader.value() - 1].name;
+        m_toAdmin({ call, 200, formatStatus(m_name, leader, *status, m_raft->status()) });
+    }
+}
+
+void ControlDecisions::perform(const control::ReportFinding& action)
+{
+    m_base.log->write(EventId::InternalFault, { { "finding", action.text } });
+}
+
+void ControlDecisions::reportMetrics()
+{
+    raft::RaftStatus status = m_raft->status();
+    m_base.metrics.gauge("raft.term").set(static_cast<int64_t>(status.term.value()));
+    m_base.metrics.gauge("raft.commit").set(static_cast<int64_t>(status.commit));
+    m_base.metrics.gauge("raft.log_bytes").set(static_cast<int64_t>(status.logBytes));
+    m_base.metrics.gauge("raft.leader").set(m_raft->isLeader() ? 1 : 0);
+    m_base.metrics.gauge("control.subscribers").set(static_cast<int64_t>(m_instance->relay().subscribers()));
+    m_base.metrics.gauge("ring.decisions.refused")
+        .set(static_cast<int64_t>(m_fromNetwork.refused() + m_fromAdmin.refused()));
+}
+
+} // namespace cicadaward
--- /dev/null
+++ b/daemons/control_decisions.h
@@ -0,0 +1,120 @@
+// The decisions duty of a control instance: drives the consensus machine, the durable store and the control machine on
+// one thread. A batch is written and synced before the thread goes on, so nothing that depends on it can leave earlier;
+// this holds back heartbeats for the few milliseconds that a sync takes.
+//
+// Other instances are known by name from the settings and by the instance id of their disk from /hello calls. The
+// leader adds an unknown id of a configured name as a learner, which consensus promotes when it has caught up; an id
+// that no configured name has any longer is removed once every name has a live voter, so that a repaired group has
+// exactly one voter for each name.
+#pragma once
+
+#include "control/control_instance.h"
+#include "control_messages.h"
+#include "daemon.h"
+#include "net/waking_ring.h"
+#include "raft/raft.h"
+#include "store/posix_file_system.h"
+#include "store/store.h"
+
+#include <map>
+
+namespace cicadaward {
+
+// Sent to every configured peer once a second, and answered with the same.
+struct Hello {
+    std::string name;
+    InstanceId instance;
+
+    MSGPACK_DEFINE_ARRAY(name, instance)
+};
+
+class ControlDecisions {
+public:
+    // The functions are called on the decisions thread. `failed`: the store has failed and the process must end.
+    ControlDecisions(DaemonBase&, const Settings&, std::function<bool(NetworkInput&&)> toNetwork,
+        std::function<bool(AdminAnswer&&)> toAdmin, std::function<void()> failed);
+
+    // Opens the store. DataLoss names the damaged file and offset.
+    absl::Status open();
+    void start() { m_duty.start(); }
+    void stop();
+
+    bool fromNetwork(DecisionsInput&& input) { return m_fromNetwork.push(std::move(input)); }
+    bool fromAdmin(DecisionsInput&& input) { return m_fromAdmin.push(std::move(input)); }
+
+private:
+    struct Peer {
+        std::string name;
+        InstanceId instance; // zero while unknown
+        Time heard;
+    };
+
+    void handleInput(const CallReceived&);
+    void handleInput(const PeerReplied&);
+    void handleInput(const AdminCall&);
+    void takeHello(const std::string& payload);
+    std::string hello() const;
+
+    void handle(raft::RaftEvent);
+    void perform(raft::SendMessage&);
+    void perform(raft::Persist&);
+    void perform(raft::ApplyEntries&);
+    void perform(raft::InstallSnapshot&);
+    void perform(raft::BecameLeader&);
+    void perform(raft::BecameFollower&);
+    void perform(raft::RequestResult&);
+    void perform(raft::StopReady&);
+
+    void handle(const control::ControlEvent&);
+    void perform(const control::ProposeCommand&);
+    void perform(const control::SendToInstance&);
+    void perform(const control::SendToAllInstances&);
+    void perform(const control::AnswerRequest&);
+    void perform(const control::ReportFinding&);
+    void answerAdmin(uint64_t call, const control::ControlAnswer&);
+
+    void tick();
+    void sendHellos();
+    void maintainGroup();
+    void takeSnapshot();
+    void reportMetrics();
+    void adminRead(const AdminCall&);
+    bool adminChange(const AdminCall&);
+    std::string membersJson() const;
+
+    control::ControlInstanceId controlId(InstanceId) const;
+    uint32_t peerIndex(InstanceId) const;
+    void post(uint32_t peer, const char* path, std::string payload);
+
+    DaemonBase& m_base;
+    std::string m_name;
+    std::string m_folder;
+    bool m_bootstrap;
+    Duration m_electionTimeout;
+    std::function<bool(NetworkInput&&)> m_toNetwork;
+    std::function<bool(AdminAnswer&&)> m_toAdmin;
+    std::function<void()> m_failed;
+
+    Duty m_duty;
+    Random m_random;
+    PosixFileSystem m_files;
+    std::unique_ptr<Store> m_store;
+    std::unique_ptr<raft::Raft> m_raft;
+    std::unique_ptr<control::ControlInstance> m_instance;
+    std::vector<Peer> m_peers; // by index in control.peers
+    uint32_t m_selfIndex = 0;
+    std::optional<Term> m_pendingLeadership; // until the first entry of the own term is applied
+    LogIndex m_applied = 0;
+    LogIndex m_snapshotIndex = 0;
+    std::vector<raft::RaftEvent> m_followUps; // events that arise while actions are carried out
+    bool m_handling = false;
+    bool m_stopped = false;
+    uint64_t m_raftRequest = 0;
+    std::map<uint64_t, std::pair<uint64_t, const char*>> m_calls; // RequestId -> call and path, "admin" for the API
+    uint64_t m_lastRequest = 0;
+    WakingRing<DecisionsInput> m_fromNetwork;
+    WakingRing<DecisionsInput> m_fromAdmin;
+    std::function<void()> m_stopReady;
+};
+
+} // namespace cicadaward
--- a/daemons/control_link.cc
+++ b/daemons/control_link.cc
@@ -41,15 +41,16 @@
     , m_announceTimeout(settings.requestTimeout)
 {
     for (const ConfiguredEndpoint& instance : instances)
-        m_instances.push_back(
-            std::make_unique<StreamClient>(context, toEndpoint(instance), m_random, StreamClientOptions {}));
+        m_instances.push_back(std::make_unique<StreamClient>(context,
+            boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4(instance.address), instance.port),
+            Random(m_random.next())));
 }
 
 uint64_t ControlLink::bytesSent() const
 {
     uint64_t sum = 0;
     for (const auto& instance : m_instances)
-        sum += instance->bytesSent();
+        sum += instance->counters().bytesSent;
     return sum;
 }
 
@@ -57,7 +58,7 @@
 {
     uint64_t sum = 0;
     for (const auto& instance : m_instances)
-        sum += instance->bytesReceived();
+        sum += instance->counters().bytesReceived;
     return sum;
 }
 
@@ -72,8 +73,9 @@
 {
     std::string message
         = sealStreamMessage(m_authenticator, MessagePurpose::ControlRequest, m_sequence.next(), m_self, payload);
-    m_instances[instance]->post(
-        path, message, timeout, [this, instance, done = std::move(done)](absl::StatusOr<std::string> reply) {
+    m_instances[instance]->post(path, std::move(message),
+        std::chrono::duration_cast<std::chrono::milliseconds>(timeout),
+        [this, instance, done = std::move(done)](absl::StatusOr<std::string> reply) {
             MemberId sender;
             uint64_t sequence = 0;
             if (!reply.ok()) {
@@ -97,7 +99,7 @@
             if (!decodeMessage(payload, reply))
                 return;
             if (reply.backed)
-                m_handlers.contact(sent - std::chrono::milliseconds(reply.backedAgeMs), reply.newest);
+                m_handlers.contact(sent, reply.newest);
             perform(m_client.handle(control::AnnounceAnswered { instance, reply }));
         });
 }
--- a/daemons/entry_daemon.cc
+++ b/daemons/entry_daemon.cc
@@ -37,7 +37,8 @@
           [this](Endpoint, uint8_t* data, size_t size) { handlePacket(data, size); })
     , m_tunnel(m_packets.context(), toEndpoint(settings.endpoint("listen.tunnel")), maxTunnelSize + sealTrailerSize,
           [this](Endpoint, uint8_t* data, size_t size) { handleTunnel(data, size); })
-    , m_commands(detail::commandRingSize, m_packets.context(), [this](PacketCommand&& command) { handleCommand(command); })
+    , m_commands(
+          detail::commandRingSize, m_packets.context(), [this](PacketCommand&& command) { handleCommand(command); })
     , m_link(base, settings.endpoints("control.peers"), clientSettings(settings), m_control.context(),
           { [this](std::shared_ptr<const Directory> directory) {
                m_latest.directory = std::move(directory);
@@ -53,7 +54,8 @@
     m_control.every(std::chrono::seconds(1), [this] { reportMetrics(); });
     if (settings.isSet("admin.listen")) {
         m_admin = std::make_unique<HttpServer>(m_control.context(), toEndpoint(settings.endpoint("admin.listen")),
-            [this](const HttpRequest&, const HttpReply& reply) { reply(200, "application/json", m_base.metrics.json()); });
+            [this](
+                const HttpRequest&, const HttpReply& reply) { reply(200, "application/json", m_base.metrics.json()); });
     }
 }
 
@@ -76,7 +78,8 @@
 
 absl::Status EntryDaemon::start()
 {
-    for (const absl::Status& status : { m_fabric.status(), m_tunnel.status(), m_admin ? m_admin->status() : absl::OkStatus() }) {
+    for (const absl::Status& status :
+        { m_fabric.status(), m_tunnel.status(), m_admin ? m_admin->status() : absl::OkStatus() }) {
         if (!status.ok())
             return status;
     }
--- a/daemons/entry_daemon.h
+++ b/daemons/entry_daemon.h
@@ -1,8 +1,8 @@
 // The entry: takes packets from the fabric and sends each through the tunnel to the owner of its bucket.
 //
-// Threads: "packets" reads the fabric's socket, decides and sends; "control" keeps the link to the control instances and
-// serves the metrics. New directories go from control to packets through a bounded ring; when it is full the control
-// thread keeps the newest directory and tries again with the next one.
+// Threads: "packets" reads the fabric's socket, decides and sends; "control" keeps the link to the control instances
+// and serves the metrics. New directories go from control to packets through a bounded ring; when it is full the
+// control thread keeps the newest directory and tries again with the next one.
 #pragma once
 
 #include "control_link.h"
--- /dev/null
+++ b/libs/admission/target_monitor.cc
@@ -0,0 +1,44 @@
+#include "admission/target_monitor.h"
+
+#include <algorithm>
+
+namespace cicadaward {
+
+TargetMonitor::TargetMonitor(const Clock& clock, TargetMonitorSettings settings)
+    : m_clock(clock)
+    , m_settings(settings)
+{
+}
+
+bool TargetMonitor::healthAnswered(Incarnation incarnation, bool draining)
+{
+    m_refused = 0;
+    m_lastHealth = m_clock.now();
+    return change(draining ? TargetState::Draining : TargetState::Up, incarnation);
+}
+
+bool TargetMonitor::healthRefused()
+{
+    if (++m_refused < m_settings.refusedLimit)
+        return false;
+    return change(TargetState::Down, m_condition.incarnation);
+}
+
+bool TargetMonitor::healthFailed()
+{
+    m_refused = 0;
+    if (m_clock.now() - std::max(m_lastHealth, m_lastTraffic) < m_settings.silenceLimit)
+        return false;
+    return change(TargetState::Down, m_condition.incarnation);
+}
+
+bool TargetMonitor::change(TargetState state, Incarnation incarnation)
+{
+    TargetCondition next { state, incarnation };
+    if (next == m_condition)
+        return false;
+    m_condition = next;
+    return true;
+}
+
+} // namespace cicadaward
--- /dev/null
+++ b/libs/admission/target_monitor.h
@@ -0,0 +1,64 @@
+// Decides whether the local target is up from what its health endpoint says and from its own traffic.
+//
+//     TargetMonitor monitor(clock, {});
+//     if (monitor.healthAnswered(Incarnation(7), false))
+//         announce(monitor.condition());
+//
+// Health endpoints lag or mislead, so only two things count as proof that the target is gone: nothing accepts
+// connections at its port (refusedLimit times in a row), or neither health answers nor traffic for silenceLimit. A health
+// endpoint that fails or hangs while traffic flows changes nothing. Not safe for use by several threads.
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+
+namespace cicadaward {
+
+enum class TargetState : uint8_t {
+    Down, // also before the first answer
+    Up,
+    Draining,
+};
+
+struct TargetCondition {
+    TargetState state = TargetState::Down;
+    Incarnation incarnation; // the last one that was seen
+
+    friend bool operator==(const TargetCondition& a, const TargetCondition& b)
+    {
+        return a.state == b.state && a.incarnation == b.incarnation;
+    }
+    friend bool operator!=(const TargetCondition& a, const TargetCondition& b) { return !(a == b); }
+};
+
+struct TargetMonitorSettings {
+    int refusedLimit = 2;
+    Duration silenceLimit = std::chrono::seconds(3);
+};
+
+class TargetMonitor {
+public:
+    TargetMonitor(const Clock& clock, TargetMonitorSettings settings);
+
+    // Each returns true when condition() has changed.
+    bool healthAnswered(Incarnation incarnation, bool draining);
+    bool healthRefused(); // nothing listens at the target's port
+    bool healthFailed(); // timeout, damaged or negative answer
+
+    // The target has sent a packet or an answer.
+    void trafficSeen() { m_lastTraffic = m_clock.now(); }
+
+    const TargetCondition& condition() const { return m_condition; }
+
+private:
+    bool change(TargetState state, Incarnation incarnation);
+
+    const Clock& m_clock;
+    TargetMonitorSettings m_settings;
+    TargetCondition m_condition;
+    int m_refused = 0;
+    Time m_lastHealth;
+    Time m_lastTraffic;
+};
+
+} // namespace cicadaward
--- /dev/null
+++ b/libs/admission/target_monitor_test.cc
@@ -0,0 +1,45 @@
+#include "admission/target_monitor.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cicadaward;
+
+TEST_CASE("a refused connection is proof only when repeated", "[admission]")
+{
+    ManualClock clock;
+    TargetMonitor monitor(clock, {});
+    CHECK(monitor.condition().state == TargetState::Down);
+    CHECK(monitor.healthAnswered(Incarnation(1), false));
+    CHECK_FALSE(monitor.healthRefused());
+    CHECK_FALSE(monitor.healthAnswered(Incarnation(1), false));
+    CHECK_FALSE(monitor.healthRefused());
+    CHECK(monitor.healthRefused());
+    CHECK(monitor.condition().state == TargetState::Down);
+}
+
+TEST_CASE("a health endpoint that fails while traffic flows does not take the target down", "[admission]")
+{
+    ManualClock clock;
+    TargetMonitor monitor(clock, {});
+    monitor.healthAnswered(Incarnation(1), false);
+    for (int i = 0; i < 100; ++i) {
+        clock.advance(std::chrono::milliseconds(500));
+        monitor.trafficSeen();
+        REQUIRE_FALSE(monitor.healthFailed());
+    }
+    clock.advance(std::chrono::milliseconds(2900));
+    CHECK_FALSE(monitor.healthFailed());
+    clock.advance(std::chrono::milliseconds(200));
+    CHECK(monitor.healthFailed());
+}
+
+TEST_CASE("a restart and a drain are changes", "[admission]")
+{
+    ManualClock clock;
+    TargetMonitor monitor(clock, {});
+    monitor.healthAnswered(Incarnation(1), false);
+    CHECK(monitor.healthAnswered(Incarnation(2), false));
+    CHECK(monitor.healthAnswered(Incarnation(2), true));
+    CHECK(monitor.condition().state == TargetState::Draining);
+    CHECK(monitor.healthAnswered(Incarnation(2), false));
+}
--- a/libs/control/dissemination_test.cc
+++ b/libs/control/dissemination_test.cc
@@ -6,6 +6,7 @@
 #include <map>
 
 using namespace cicadaward;
+using namespace cicadaward::control;
 using namespace cicadaward::test;
 using namespace std::chrono_literals;
 
--- a/libs/control/manifest_register_test.cc
+++ b/libs/control/manifest_register_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 using namespace cicadaward;
+using namespace cicadaward::control;
 using namespace cicadaward::test;
 
 namespace {
--- a/libs/flow/actions.h
+++ b/libs/flow/actions.h
@@ -20,7 +20,7 @@
 #include <variant>
 #include <vector>
 
-namespace cicadaward {
+namespace cicadaward::flow {
 
 using Bytes = absl::Span<const uint8_t>;
 
@@ -128,4 +128,4 @@
     std::array<uint64_t, flowCounterCount> m_values {};
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::flow
--- a/libs/flow/agent_flows.cc
+++ b/libs/flow/agent_flows.cc
@@ -6,7 +6,7 @@
 #include "flow/holder.h"
 #include "flow/owner.h"
 
-namespace cicadaward {
+namespace cicadaward::flow {
 
 namespace detail {
 
@@ -298,4 +298,4 @@
     return names[static_cast<size_t>(counter)];
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::flow
--- a/libs/flow/agent_flows.h
+++ b/libs/flow/agent_flows.h
@@ -31,7 +31,7 @@
 #include <memory>
 #include <variant>
 
-namespace cicadaward {
+namespace cicadaward::flow {
 
 struct AgentFlowsSettings {
     MemberId self;
@@ -110,4 +110,4 @@
     std::unique_ptr<detail::AgentMachine> m_machine;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::flow
--- a/libs/flow/agent_state.cc
+++ b/libs/flow/agent_state.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <set>
 
-namespace cicadaward::detail {
+namespace cicadaward::flow::detail {
 
 namespace {
 
@@ -211,4 +211,4 @@
         (summary.request ? FlowFlag::request : 0) | (summary.refusing ? FlowFlag::refusing : 0));
 }
 
-} // namespace cicadaward::detail
+} // namespace cicadaward::flow::detail
--- a/libs/flow/agent_state.h
+++ b/libs/flow/agent_state.h
@@ -13,7 +13,7 @@
 #include <memory>
 #include <vector>
 
-namespace cicadaward::detail {
+namespace cicadaward::flow::detail {
 
 // Another agent of the service, or this one. Kept while absent from the directory, because its flows continue.
 struct Peer {
@@ -136,4 +136,4 @@
 FlowSummary summarize(const AgentState& state, const FlowRecord& record);
 uint8_t flagsOf(const FlowSummary& summary);
 
-} // namespace cicadaward::detail
+} // namespace cicadaward::flow::detail
--- a/libs/flow/bindings.cc
+++ b/libs/flow/bindings.cc
@@ -1,6 +1,6 @@
 #include "flow/bindings.h"
 
-namespace cicadaward {
+namespace cicadaward::flow {
 
 bool Bindings::find(MemberId member, Incarnation incarnation, uint16_t& number)
 {
@@ -31,4 +31,4 @@
     m_free.push_back(number);
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::flow
--- a/libs/flow/bindings.h
+++ b/libs/flow/bindings.h
@@ -14,7 +14,7 @@
 #include <utility>
 #include <vector>
 
-namespace cicadaward {
+namespace cicadaward::flow {
 
 struct Binding {
     MemberId member;
@@ -41,4 +41,4 @@
     absl::flat_hash_map<std::pair<MemberId, Incarnation>, uint16_t> m_numbers;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::flow
--- a/libs/flow/bucket_sync.cc
+++ b/libs/flow/bucket_sync.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace cicadaward::detail {
+namespace cicadaward::flow::detail {
 
 namespace {
 
@@ -168,4 +168,4 @@
     return ready;
 }
 
-} // namespace cicadaward::detail
+} // namespace cicadaward::flow::detail
--- a/libs/flow/bucket_sync.h
+++ b/libs/flow/bucket_sync.h
@@ -12,7 +12,7 @@
 #include <map>
 #include <vector>
 
-namespace cicadaward::detail {
+namespace cicadaward::flow::detail {
 
 class BucketSync {
 public:
@@ -81,4 +81,4 @@
     size_t m_settled = 0;
 };
 
-} // namespace cicadaward::detail
+} // namespace cicadaward::flow::detail
--- a/libs/flow/entry_forwarder.cc
+++ b/libs/flow/entry_forwarder.cc
@@ -1,6 +1,6 @@
 #include "flow/entry_forwarder.h"
 
-namespace cicadaward {
+namespace cicadaward::flow {
 
 void EntryForwarder::install(const Directory& directory)
 {
@@ -36,4 +36,4 @@
     return EntryVerdict::Forward;
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::flow
--- a/libs/flow/entry_forwarder.h
+++ b/libs/flow/entry_forwarder.h
@@ -15,7 +15,7 @@
 
 #include <memory>
 
-namespace cicadaward {
+namespace cicadaward::flow {
 
 enum class EntryVerdict : uint8_t {
     Forward,
@@ -52,4 +52,4 @@
     std::unique_ptr<RoutingTable> m_table;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::flow
--- a/libs/flow/flow_table.cc
+++ b/libs/flow/flow_table.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace cicadaward {
+namespace cicadaward::flow {
 
 namespace detail {
 
@@ -55,4 +55,4 @@
     --m_size;
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::flow
--- a/libs/flow/flow_table.h
+++ b/libs/flow/flow_table.h
@@ -17,7 +17,7 @@
 #include <cstddef>
 #include <vector>
 
-namespace cicadaward {
+namespace cicadaward::flow {
 
 struct FlowRole {
     static constexpr uint8_t held = 1; // its target is the local one
@@ -83,4 +83,4 @@
     size_t m_size = 0;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::flow
--- a/libs/flow/holder.cc
+++ b/libs/flow/holder.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace cicadaward::detail {
+namespace cicadaward::flow::detail {
 
 namespace {
 
@@ -303,4 +303,4 @@
     return idle >= limit && close(record);
 }
 
-} // namespace cicadaward::detail
+} // namespace cicadaward::flow::detail
--- a/libs/flow/holder.h
+++ b/libs/flow/holder.h
@@ -10,7 +10,7 @@
 #include <map>
 #include <vector>
 
-namespace cicadaward::detail {
+namespace cicadaward::flow::detail {
 
 class Holder final : public LocalHolder {
 public:
@@ -91,4 +91,4 @@
     Time m_nextProbe;
 };
 
-} // namespace cicadaward::detail
+} // namespace cicadaward::flow::detail
--- a/libs/flow/holder_sync.cc
+++ b/libs/flow/holder_sync.cc
@@ -7,7 +7,7 @@
 #include <cstdlib>
 #include <map>
 
-namespace cicadaward::detail {
+namespace cicadaward::flow::detail {
 
 namespace {
 
@@ -285,4 +285,4 @@
     sendLoadReports();
 }
 
-} // namespace cicadaward::detail
+} // namespace cicadaward::flow::detail
--- a/libs/flow/messages.h
+++ b/libs/flow/messages.h
@@ -17,7 +17,7 @@
 #include <variant>
 #include <vector>
 
-namespace cicadaward {
+namespace cicadaward::flow {
 
 // Bounds that keep a datagram under 1,400 bytes.
 constexpr size_t maxFlowsPerMessage = 44;
@@ -154,6 +154,6 @@
 // The type of a peer message of any library; false when it is damaged. Cheap: reads two bytes.
 bool peerMessageType(Bytes bytes, uint32_t& type);
 
-} // namespace cicadaward
+} // namespace cicadaward::flow
 
-MSGPACK_ADD_ENUM(cicadaward::RefusalReason)
+MSGPACK_ADD_ENUM(cicadaward::flow::RefusalReason)
--- a/libs/flow/owner.cc
+++ b/libs/flow/owner.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace cicadaward::detail {
+namespace cicadaward::flow::detail {
 
 namespace {
 
@@ -278,4 +278,4 @@
     replay(m_sync.answered(sender, message));
 }
 
-} // namespace cicadaward::detail
+} // namespace cicadaward::flow::detail
--- a/libs/flow/owner.h
+++ b/libs/flow/owner.h
@@ -14,7 +14,7 @@
 #include <optional>
 #include <vector>
 
-namespace cicadaward::detail {
+namespace cicadaward::flow::detail {
 
 // What the owner needs of the holder beside it.
 class LocalHolder {
@@ -110,4 +110,4 @@
     std::vector<std::pair<uint16_t, FlowKey>> m_checks; // by binding, flows to ask the holder about
 };
 
-} // namespace cicadaward::detail
+} // namespace cicadaward::flow::detail
--- a/libs/flow/owner_records.cc
+++ b/libs/flow/owner_records.cc
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <map>
 
-namespace cicadaward::detail {
+namespace cicadaward::flow::detail {
 
 namespace {
 
@@ -254,4 +254,4 @@
     flushChecks();
 }
 
-} // namespace cicadaward::detail
+} // namespace cicadaward::flow::detail
--- a/libs/flow/packet_queue.h
+++ b/libs/flow/packet_queue.h
@@ -9,7 +9,7 @@
 #include <map>
 #include <vector>
 
-namespace cicadaward::detail {
+namespace cicadaward::flow::detail {
 
 struct QueuedPacket {
     TunnelHeader header;
@@ -75,4 +75,4 @@
     size_t m_size = 0;
 };
 
-} // namespace cicadaward::detail
+} // namespace cicadaward::flow::detail
--- a/libs/net/http_server.cc
+++ b/libs/net/http_server.cc
@@ -44,12 +44,15 @@
 
         void read()
         {
-            m_request = {};
-            m_stream.expires_after(idleLimit);
+            m_parser.emplace();
+            m_parser->body_limit(maxHttpBody);
+            m_stream.expires_after(transferLimit);
             http::async_read(
-                m_stream, m_buffer, m_request, [self = shared_from_this()](boost::system::error_code error, size_t) {
+                m_stream, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code error, size_t) {
                     if (!error)
                         self->handle();
+                    else if (error == http::error::body_limit)
+                        self->write(413, "text/plain", "the body is larger than the limit\n");
                 });
         }
 
--- a/libs/net/net_test.cc
+++ b/libs/net/net_test.cc
@@ -1,3 +1,5 @@
+#include "net/http_client.h"
+#include "net/http_server.h"
 #include "net/tcp_endpoint.h"
 #include "net/udp_port.h"
 #include "net/waking_ring.h"
@@ -128,3 +130,55 @@
         context.run_one();
     CHECK(received == 3);
 }
+
+TEST_CASE("HTTP calls reach the handler whole, and a body beyond the limit is refused", "[net]")
+{
+    boost::asio::io_context context;
+    const Endpoint endpoint { 0x7f000001, 20991 };
+    HttpServer server(context, endpoint, [](const HttpRequest& request, const HttpReply& reply) {
+        reply(200, "text/plain", std::string(request["X-Test"]) + ":" + std::to_string(request.body().size()));
+    });
+    REQUIRE(server.status().ok());
+    HttpClient client(context, endpoint, 1);
+    struct Case {
+        size_t bodySize;
+        unsigned status;
+        std::string body;
+    };
+    const Case cases[] = { { 5, 200, "value:5" }, { maxHttpBody, 200, "value:" + std::to_string(maxHttpBody) },
+        { maxHttpBody + 1, 413, "the body is larger than the limit\n" }, { 0, 200, "value:0" } };
+    uint64_t call = 0;
+    for (const Case& c : cases) {
+        HttpClientRequest request(boost::beast::http::verb::post, "/", 11);
+        request.set("X-Test", "value");
+        request.body() = std::string(c.bodySize, 'b');
+        request.prepare_payload();
+        bool done = false;
+        client.send(++call, request, std::chrono::seconds(30), [&](uint64_t, HttpResult result) {
+            done = true;
+            // The server closes early on an oversized body, so the client may see a reset instead of the answer.
+            if (auto* response = std::get_if<HttpClientResponse>(&result)) {
+                CHECK(response->result_int() == c.status);
+                CHECK(response->body() == c.body);
+            } else
+                CHECK(c.status == 413);
+        });
+        while (!done)
+            context.run_one();
+    }
+}
+
+TEST_CASE("a call to a port where nothing listens was not sent", "[net]")
+{
+    boost::asio::io_context context;
+    HttpClient client(context, { 0x7f000001, 1 }, 1);
+    bool done = false;
+    client.send(1, HttpClientRequest(boost::beast::http::verb::get, "/", 11), std::chrono::seconds(30),
+        [&](uint64_t, HttpResult result) {
+            done = true;
+            REQUIRE(std::holds_alternative<HttpFailure>(result));
+            CHECK(std::get<HttpFailure>(result) == HttpFailure::ConnectionRefused);
+        });
+    while (!done)
+        context.run_one();
+}
--- a/libs/packet/tunnel.cc
+++ b/libs/packet/tunnel.cc
@@ -45,7 +45,7 @@
     if (size < tunnelHeaderSize || data[0] >> 4 != detail::tunnelFormat)
         return false;
     uint8_t kind = data[0] & 0x0f;
-    if (kind < static_cast<uint8_t>(TunnelKind::ToOwner) || kind > static_cast<uint8_t>(TunnelKind::PeerMessage))
+    if (kind < static_cast<uint8_t>(TunnelKind::ToOwner) || kind > static_cast<uint8_t>(TunnelKind::RequestMessage))
         return false;
     header.kind = static_cast<TunnelKind>(kind);
     header.hops = data[1];
--- a/libs/packet/tunnel.h
+++ b/libs/packet/tunnel.h
@@ -20,7 +20,8 @@
     ToOwner = 1, // to the bucket's owner, which decides
     ToHolder = 2, // to the holder of an established flow
     OpenFlow = 3, // to the member that the owner has chosen for a new flow
-    PeerMessage = 4, // a MessagePack message between agents instead of an IP packet
+    PeerMessage = 4, // a message between the flow machines of two agents instead of an IP packet
+    RequestMessage = 5, // a message between the request machines of two agents instead of an IP packet
 };
 
 struct TunnelHeader {
--- a/libs/settings/daemon_settings.cc
+++ b/libs/settings/daemon_settings.cc
@@ -20,11 +20,11 @@
 
     const std::vector<Setting> memberSettings {
         { "control.peers", SettingType::EndpointList, "", nullptr, 1, maxControlPeers, "control instances (TCP)" },
-        { "control.announce-interval-ms", SettingType::Duration, "ms", "1000", 10, maxMs,
+        { "control.announce-interval-ms", SettingType::Milliseconds, "ms", "1000", 10, maxMs,
             "time between two announcements" },
-        { "control.lease-ms", SettingType::Duration, "ms", "3000", 30, maxMs,
+        { "control.lease-ms", SettingType::Milliseconds, "ms", "3000", 30, maxMs,
             "without an answer backed by a quorum for this long, no new work is placed or admitted" },
-        { "control.isolation-ms", SettingType::Duration, "ms", "5000", 50, maxMs,
+        { "control.isolation-ms", SettingType::Milliseconds, "ms", "5000", 50, maxMs,
             "with no word from another data centre for this long either, forwarding stops" },
     };
 
@@ -68,12 +68,12 @@
         { "target.packets", SettingType::Endpoint, "", nullptr, 0, 0,
             "UDP endpoint where the target takes IP packets" },
         { "target.http", SettingType::Endpoint, "", nullptr, 0, 0, "TCP endpoint of the target's HTTP server" },
-        { "target.health-interval-ms", SettingType::Duration, "ms", "500", 10, maxMs,
+        { "target.health-interval-ms", SettingType::Milliseconds, "ms", "500", 10, maxMs,
             "time between two looks at the target's health" },
         { "limits.max-flows", SettingType::Number, "flows", "65536", 1, 1 << 24, "most open flows held" },
         { "limits.max-requests", SettingType::Number, "requests", "1024", 1, 1 << 20,
             "most requests open at the same time" },
-        { "stop.limit-ms", SettingType::Duration, "ms", "30000", 0, maxMs, "longest time that a planned stop takes" },
+        { "stop.limit-ms", SettingType::Milliseconds, "ms", "30000", 0, maxMs, "longest time that a planned stop takes" },
     });
     return table;
 }
@@ -86,11 +86,11 @@
             { "listen.peers", SettingType::Endpoint, "", nullptr, 0, 0, "TCP endpoint for streams" },
             { "control.peers", SettingType::NamedEndpointList, "", nullptr, 1, maxControlPeers,
                 "all control instances, this one included" },
-            { "control.lease-ms", SettingType::Duration, "ms", "3000", 30, maxMs,
+            { "control.lease-ms", SettingType::Milliseconds, "ms", "3000", 30, maxMs,
                 "a member that is silent for this long is removed" },
             { "control.bootstrap", SettingType::Flag, "", "false", 0, 0,
                 "true for the instances of the first start; others join as learners" },
-            { "raft.election-timeout-ms", SettingType::Duration, "ms", "300", 10, maxMs,
+            { "raft.election-timeout-ms", SettingType::Milliseconds, "ms", "300", 10, maxMs,
                 "shortest time without a leader's message before an election" },
             { "data.folder", SettingType::Path, "", nullptr, 1, maxPathBytes, "folder of the log and snapshots" },
             { "admin.token-file", SettingType::Path, "", "", 1, maxPathBytes,
--- a/libs/settings/settings.cc
+++ b/libs/settings/settings.cc
@@ -132,7 +132,7 @@
                 ? ""
                 : "must be " + limitsText(setting) + " bytes long";
         case SettingType::Number:
-        case SettingType::Duration: {
+        case SettingType::Milliseconds: {
             const std::optional<int64_t> number = parseNumber(value);
             if (!number)
                 return "\"" + value + "\" is not a whole number";
@@ -208,7 +208,7 @@
             return "name";
         case SettingType::Number:
             return "whole number";
-        case SettingType::Duration:
+        case SettingType::Milliseconds:
             return "duration";
         case SettingType::Flag:
             return "true or false";
@@ -238,7 +238,7 @@
         case SettingType::NamedEndpointList:
             return limitsText(setting) + " entries";
         case SettingType::Number:
-        case SettingType::Duration:
+        case SettingType::Milliseconds:
             return limitsText(setting);
         }
         return "";
@@ -289,7 +289,7 @@
 
 std::chrono::milliseconds Settings::duration(const std::string& key) const
 {
-    return std::chrono::milliseconds(parseNumber(value(key, { SettingType::Duration })).value_or(0));
+    return std::chrono::milliseconds(parseNumber(value(key, { SettingType::Milliseconds })).value_or(0));
 }
 
 bool Settings::flag(const std::string& key) const { return value(key, { SettingType::Flag }) == "true"; }
--- a/libs/settings/settings.h
+++ b/libs/settings/settings.h
@@ -26,7 +26,7 @@
     Text, // limits: length in bytes
     Name, // letters, digits, '-', '_' and '.'; limits: length in bytes
     Number, // whole number; limits: value
-    Duration, // whole number of milliseconds; limits: value
+    Milliseconds, // whole number of milliseconds; limits: value
     Flag, // "true" or "false"
     Endpoint, // "ip:port", IPv4
     EndpointList, // "ip:port, ip:port"; limits: number of entries
--- a/libs/settings/settings_test.cc
+++ b/libs/settings/settings_test.cc
@@ -12,8 +12,8 @@
 const SettingTable table { {
                                { "a.name", SettingType::Name, "", nullptr, 1, 8, "a name" },
                                { "a.count", SettingType::Number, "", "5", 1, 10, "a count" },
-                               { "a.wait-ms", SettingType::Duration, "ms", "20", 1, 100, "a time" },
-                               { "a.limit-ms", SettingType::Duration, "ms", "50", 1, 100, "a time" },
+                               { "a.wait-ms", SettingType::Milliseconds, "ms", "20", 1, 100, "a time" },
+                               { "a.limit-ms", SettingType::Milliseconds, "ms", "50", 1, 100, "a time" },
                                { "b.on", SettingType::Flag, "", "false", 0, 0, "a flag" },
                                { "b.at", SettingType::Endpoint, "", "", 0, 0, "an endpoint" },
                                { "b.peers", SettingType::EndpointList, "", "", 1, 2, "a list" },
--- a/tools/topology.cc
+++ b/tools/topology.cc
@@ -91,7 +91,7 @@
         tree.put("admin.listen", formatEndpoint(m_admin[name]));
         tree.put("admin.token-file", m_plan.runFolder + "/token");
         tree.put("control.peers", m_namedControlPeers);
-        tree.put("control.bootstrap", "true");
+        tree.put("control.bootstrap", i == 1 ? "true" : "false");
         tree.put("control.lease-ms", 3 * m_plan.announceMs);
         tree.put("data.folder", m_plan.runFolder + "/" + name + "-data");
         addDaemon(name, "cicadaward-control", tree);
