Add HTTP/2 streams between processes

Cause: announcements, watches and Raft messages need request and reply between processes, with late answers, bounds on what a bad or slow peer can hold, and detection of peers that vanished. Change: libs/stream runs nghttp2 on Boost.Asio sockets in the caller's thread. The server's handler answers at once or later; the client queues requests, connects on demand and reconnects with jittered exponential backoff. PINGs detect a silent peer within silenceLimit + pingInterval (4 s by default). Bodies are limited to 8 MiB, open requests and the bytes they hold are bounded on both sides, and peers that break the protocol or a limit are closed and counted. nghttp2's callbacks only collect events, so handlers may stop or destroy the client or server. Conclusion: the daemons can exchange messages; authentication is left to the auth library, message by message.

--- /dev/null
+++ b/libs/stream/stream_types.h
@@ -0,0 +1,32 @@
+// Counters and limits that the server and the client of a stream share.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace cicadaward {
+
+// Bytes are those of TCP's payload, with HTTP/2 framing. Read on the thread of the io_context.
+struct StreamCounters {
+    uint64_t bytesSent = 0;
+    uint64_t bytesReceived = 0;
+    uint64_t connections = 0; // established
+    uint64_t requests = 0; // received by a server, sent by a client
+    uint64_t refused = 0; // requests or connections beyond a bound
+    uint64_t peerFaults = 0; // connections closed because of what the peer sent
+    uint64_t silentPeers = 0; // connections closed because the peer was silent
+};
+
+// A peer that has vanished without closing the connection is detected at most silenceLimit + pingInterval after its
+// last byte.
+struct StreamLimits {
+    std::chrono::milliseconds pingInterval { 1000 }; // a PING is sent when nothing arrived for this long
+    std::chrono::milliseconds silenceLimit { 3000 }; // the connection is closed when nothing arrived for this long
+    std::chrono::milliseconds bodyLimit { 30000 }; // server: longest time that one body takes to come or go
+    size_t maxBodyBytes = 8 << 20; // of a request or a reply; a peer that exceeds it is closed
+    size_t maxOpenBytes = 64 << 20; // of all bodies held for open requests
+    uint32_t maxStreams = 128; // open requests of one connection that a server accepts
+};
+
+} // namespace cicadaward
