Add the durable store of a control instance

File access goes through FileSystem; MemoryFileSystem loses, tears and fails by seed. The crash test found that entries of obsolete segments were replayed after an interrupted removal; they are skipped now.

--- /dev/null
+++ b/libs/store/memory_file_system.h
@@ -0,0 +1,80 @@
+// File system in memory for tests. It keeps what is durable apart from what was only written, so crash() loses what a
+// power failure may lose. All choices come from the seed.
+//
+//     MemoryFileSystem files(seed);
+//     files.faults().syncFailure = 0.01;
+//     ... // use a Store until it fails
+//     files.crash(); // unsynced bytes are lost, torn or partly kept
+#pragma once
+
+#include "core/random.h"
+#include "store/file_system.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace cicadaward {
+
+class MemoryFileSystem final : public FileSystem {
+public:
+    // Probabilities for each operation.
+    struct Faults {
+        double syncFailure = 0;
+        double shortWrite = 0;
+        std::optional<uint64_t> capacity; // bytes in all files; appends beyond it fail
+    };
+
+    explicit MemoryFileSystem(uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    Faults& faults() { return m_faults; }
+    // Returns to the durable state plus a random part of what was written but not synced: whole sectors of appended
+    // bytes in any combination, and directory changes up to a random one. Open files must be closed before.
+    void crash();
+    // Flips one bit of a file.
+    absl::Status flipBit(const std::string& path, uint64_t bit);
+    // Number of operations so far that change something. After `operation`, every further one fails until crash().
+    uint64_t operations() const { return m_operations; }
+    void stopAfter(uint64_t operation) { m_stopAfter = operation; }
+
+    absl::Status createDirectory(const std::string& path) override;
+    absl::StatusOr<std::vector<std::string>> list(const std::string& directory) override;
+    absl::StatusOr<std::string> read(const std::string& path) override;
+    absl::StatusOr<std::unique_ptr<AppendFile>> openForAppend(const std::string& path) override;
+    absl::Status truncate(const std::string& path, uint64_t size) override;
+    absl::Status rename(const std::string& from, const std::string& to) override;
+    absl::Status remove(const std::string& path) override;
+    absl::Status syncDirectory(const std::string& path) override;
+    absl::StatusOr<std::unique_ptr<FileLock>> lock(const std::string& path) override;
+
+private:
+    struct Node {
+        std::string durable;
+        std::string current;
+    };
+    using Names = std::map<std::string, std::shared_ptr<Node>>;
+    struct MemoryAppendFile;
+    struct MemoryFileLock;
+
+    absl::Status beginChange(const std::string& path);
+    absl::Status append(Node& node, const std::string& bytes);
+    absl::Status sync(Node& node);
+    void change(const std::function<void(Names&)>& apply);
+    void tear(Node& node);
+
+    Random m_random;
+    Faults m_faults;
+    Names m_durableNames;
+    Names m_names;
+    std::vector<std::function<void(Names&)>> m_unsyncedChanges;
+    std::set<std::string> m_locks;
+    uint64_t m_operations = 0;
+    std::optional<uint64_t> m_stopAfter;
+};
+
+} // namespace cicadaward
--- /dev/null
+++ b/libs/store/posix_file_system.h
@@ -0,0 +1,21 @@
+// The operating system's files.
+#pragma once
+
+#include "store/file_system.h"
+
+namespace cicadaward {
+
+class PosixFileSystem final : public FileSystem {
+public:
+    absl::Status createDirectory(const std::string& path) override;
+    absl::StatusOr<std::vector<std::string>> list(const std::string& directory) override;
+    absl::StatusOr<std::string> read(const std::string& path) override;
+    absl::StatusOr<std::unique_ptr<AppendFile>> openForAppend(const std::string& path) override;
+    absl::Status truncate(const std::string& path, uint64_t size) override;
+    absl::Status rename(const std::string& from, const std::string& to) override;
+    absl::Status remove(const std::string& path) override;
+    absl::Status syncDirectory(const std::string& path) override;
+    absl::StatusOr<std::unique_ptr<FileLock>> lock(const std::string& path) override;
+};
+
+} // namespace cicadaward
--- /dev/null
+++ b/libs/store/store.cc
@@ -0,0 +1,377 @@
+#include "store/store.h"
+
+#include "store/codec.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace cicadaward {
+
+namespace {
+
+    constexpr const char* lockName = "lock";
+    constexpr const char* temporaryName = "new.tmp";
+    constexpr const char* segmentPrefix = "segment-";
+    constexpr const char* snapshotPrefix = "snapshot-";
+
+    // Zero-padded hexadecimal, so that the order of names is the order of numbers.
+    std::string numberedName(const char* prefix, uint64_t number)
+    {
+        char digits[17];
+        std::snprintf(digits, sizeof digits, "%016llx", static_cast<unsigned long long>(number));
+        return std::string(prefix) + digits;
+    }
+
+    bool hasPrefix(const std::string& name, const std::string& prefix)
+    {
+        return name.compare(0, prefix.size(), prefix) == 0;
+    }
+
+    absl::Status damage(const std::string& name, const std::string& what)
+    {
+        return absl::DataLossError(name + ": " + what);
+    }
+
+} // namespace
+
+Store::Store(FileSystem& files, std::string folder, Random& random, StoreOptions options)
+    : m_files(files)
+    , m_folder(std::move(folder))
+    , m_random(random)
+    , m_options(options)
+{
+}
+
+absl::StatusOr<std::unique_ptr<Store>> Store::open(
+    FileSystem& files, std::string folder, Random& random, StoreOptions options)
+{
+    std::unique_ptr<Store> store(new Store(files, std::move(folder), random, options));
+    if (absl::Status status = files.createDirectory(store->m_folder); !status.ok())
+        return status;
+    absl::StatusOr<std::unique_ptr<FileLock>> lock = files.lock(store->path(lockName));
+    if (!lock.ok())
+        return lock.status();
+    store->m_lock = std::move(*lock);
+    if (absl::Status status = store->load(); !status.ok())
+        return status;
+    return store;
+}
+
+absl::Status Store::load()
+{
+    absl::StatusOr<std::vector<std::string>> names = m_files.list(m_folder);
+    if (!names.ok())
+        return names.status();
+    for (const std::string& name : *names) {
+        if (hasPrefix(name, segmentPrefix))
+            m_segmentNames.push_back(name);
+        if (name == temporaryName) {
+            if (absl::Status status = m_files.remove(path(name)); !status.ok())
+                return status;
+        }
+    }
+    if (absl::Status status = loadSnapshot(*names); !status.ok())
+        return status;
+    if (m_segmentNames.empty()) {
+        if (!m_snapshotName.empty())
+            return damage(path(m_snapshotName), "the folder has a snapshot but no segment");
+        do {
+            m_instance = InstanceId(m_random.next());
+        } while (m_instance == InstanceId());
+        m_contents.instance = m_instance;
+        return startSegment({}, true);
+    }
+    if (absl::Status status = loadSegments(); !status.ok())
+        return status;
+    m_contents.instance = m_instance;
+    absl::StatusOr<bool> changed = matchSnapshot();
+    if (!changed.ok())
+        return changed.status();
+    if (*changed) {
+        // Later frames follow the shortened log, so the files must hold it too.
+        if (absl::Status status = startSegment({ m_contents.state, {}, m_contents.entries }, true); !status.ok())
+            return status;
+    }
+    if (absl::Status status = removeObsolete(); !status.ok())
+        return status;
+    absl::StatusOr<std::unique_ptr<AppendFile>> file = m_files.openForAppend(path(m_segmentNames.back()));
+    if (!file.ok())
+        return file.status();
+    m_segment = std::move(*file);
+    // What a crash left in the file may be in the system's cache only; it counts as stored from here on.
+    if (absl::Status status = m_segment->sync(); !status.ok())
+        return status;
+    return m_files.syncDirectory(m_folder);
+}
+
+absl::Status Store::loadSnapshot(const std::vector<std::string>& names)
+{
+    for (const std::string& name : names) {
+        if (hasPrefix(name, snapshotPrefix))
+            m_snapshotName = name;
+    }
+    if (m_snapshotName.empty())
+        return absl::OkStatus();
+    absl::StatusOr<std::string> bytes = m_files.read(path(m_snapshotName));
+    if (!bytes.ok())
+        return bytes.status();
+    absl::StatusOr<detail::FileScan> scan
+        = detail::scanFile(path(m_snapshotName), *bytes, detail::FileKind::Snapshot, false);
+    if (!scan.ok())
+        return scan.status();
+    detail::SnapshotFrame frame;
+    if (scan->payloads.size() != 2 || !decodeMessage(scan->payloads[0], frame))
+        return damage(path(m_snapshotName), "snapshot is incomplete");
+    m_instance = scan->header.instance;
+    m_contents.snapshot = { frame.index, frame.term, frame.configuration, std::move(scan->payloads[1]) };
+    return absl::OkStatus();
+}
+
+// Segments before the newest one that starts with a reset are obsolete. They are not replayed: an interrupted removal
+// may have left only some of them.
+absl::Status Store::loadSegments()
+{
+    std::vector<detail::FileScan> scans;
+    size_t first = m_segmentNames.size();
+    while (m_resetSegment.empty()) {
+        if (first == 0)
+            return damage(path(m_segmentNames.front()), "an earlier segment is missing");
+        absl::StatusOr<detail::FileScan> scan = readSegment(m_segmentNames[--first]);
+        if (!scan.ok())
+            return scan.status();
+        detail::BatchFrame frame;
+        if (!scan->payloads.empty() && decodeMessage(scan->payloads.front(), frame) && frame.reset)
+            m_resetSegment = m_segmentNames[first];
+        scans.push_back(std::move(*scan));
+    }
+    m_nextSequence = scans.back().header.firstSequence;
+    m_header = scans.front().header;
+    m_segmentSize = scans.front().validSize;
+    for (; !scans.empty(); scans.pop_back(), ++first) {
+        const std::string& name = m_segmentNames[first];
+        if (scans.back().header.firstSequence != m_nextSequence)
+            return damage(path(name), "segment is out of sequence; an earlier one is missing");
+        if (m_instance != InstanceId() && m_instance != scans.back().header.instance)
+            return damage(path(name), "segment belongs to another instance");
+        m_instance = scans.back().header.instance;
+        for (const std::string& payload : scans.back().payloads) {
+            if (absl::Status status = applyFrame(name, payload); !status.ok())
+                return status;
+        }
+        m_nextSequence += scans.back().payloads.size();
+    }
+    return absl::OkStatus();
+}
+
+absl::StatusOr<detail::FileScan> Store::readSegment(const std::string& name)
+{
+    absl::StatusOr<std::string> bytes = m_files.read(path(name));
+    if (!bytes.ok())
+        return bytes.status();
+    bool isLast = name == m_segmentNames.back();
+    absl::StatusOr<detail::FileScan> scan = detail::scanFile(path(name), *bytes, detail::FileKind::Segment, isLast);
+    if (scan.ok() && scan->validSize < bytes->size()) {
+        if (absl::Status status = cutTail(name, scan->validSize); !status.ok())
+            return status;
+    }
+    return scan;
+}
+
+// Synced at once: the segment may soon not be the last one, and then a torn tail counts as damage.
+absl::Status Store::cutTail(const std::string& name, uint64_t size)
+{
+    if (absl::Status status = m_files.truncate(path(name), size); !status.ok())
+        return status;
+    absl::StatusOr<std::unique_ptr<AppendFile>> file = m_files.openForAppend(path(name));
+    return file.ok() ? (*file)->sync() : file.status();
+}
+
+absl::Status Store::applyFrame(const std::string& name, const std::string& payload)
+{
+    detail::BatchFrame frame;
+    if (!decodeMessage(payload, frame))
+        return damage(path(name), "frame is not a batch");
+    std::vector<LogEntry>& log = m_contents.entries;
+    if (frame.reset)
+        log.clear();
+    if (frame.hasState)
+        m_contents.state = frame.state;
+    for (LogEntry& entry : frame.entries) {
+        if (!log.empty() && (entry.index > log.back().index + 1 || entry.index < log.front().index))
+            return damage(path(name), "entry " + std::to_string(entry.index) + " does not follow the log");
+        if (!log.empty())
+            log.resize(entry.index - log.front().index);
+        log.push_back(std::move(entry));
+    }
+    return absl::OkStatus();
+}
+
+// A crash between the rename of a snapshot and the start of the segment that goes with it leaves an older log. Its rest
+// is kept only if it agrees with the snapshot, as for a snapshot that arrives from the leader. Returns whether the log
+// has changed.
+absl::StatusOr<bool> Store::matchSnapshot()
+{
+    const LogSnapshot& snapshot = m_contents.snapshot;
+    std::vector<LogEntry>& log = m_contents.entries;
+    if (log.empty())
+        return false;
+    if (log.front().index > snapshot.index + 1)
+        return damage(
+            path(m_segmentNames.back()), "entries before " + std::to_string(log.front().index) + " are missing");
+    if (log.front().index == snapshot.index + 1)
+        return false;
+    size_t position = snapshot.index - log.front().index;
+    if (position >= log.size() || log[position].term != snapshot.term)
+        log.clear();
+    else
+        log.erase(log.begin(), log.begin() + static_cast<std::ptrdiff_t>(position) + 1);
+    return true;
+}
+
+// The oldest go first, so that an interruption never leaves a hole.
+absl::Status Store::removeObsolete()
+{
+    while (m_segmentNames.front() < m_resetSegment) {
+        if (absl::Status status = m_files.remove(path(m_segmentNames.front())); !status.ok())
+            return status;
+        m_segmentNames.erase(m_segmentNames.begin());
+    }
+    absl::StatusOr<std::vector<std::string>> names = m_files.list(m_folder);
+    if (!names.ok())
+        return names.status();
+    for (const std::string& name : *names) {
+        if (hasPrefix(name, snapshotPrefix) && name < m_snapshotName) {
+            if (absl::Status status = m_files.remove(path(name)); !status.ok())
+                return status;
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::Status Store::checkBatch(const StoreBatch& batch) const
+{
+    if (batch.snapshot && !batch.state)
+        return absl::InvalidArgumentError("a batch with a snapshot needs the state");
+    if (batch.snapshot && numberedName(snapshotPrefix, batch.snapshot->index) < m_snapshotName)
+        return absl::InvalidArgumentError("the snapshot is older than the stored one");
+    if (batch.snapshot && batch.snapshot->data.size() > m_options.snapshotBytes)
+        return absl::InvalidArgumentError("the snapshot is too large");
+    for (const LogEntry& entry : batch.entries) {
+        if (entry.data.size() > m_options.entryBytes)
+            return absl::InvalidArgumentError("entry " + std::to_string(entry.index) + " is too large");
+    }
+    return absl::OkStatus();
+}
+
+absl::Status Store::write(const StoreBatch& batch)
+{
+    if (!m_failure.ok())
+        return m_failure;
+    if (absl::Status status = checkBatch(batch); !status.ok())
+        return status;
+    if (batch.empty())
+        return absl::OkStatus();
+    if (batch.snapshot) {
+        m_failure = writeSnapshot(*batch.snapshot);
+        if (m_failure.ok())
+            m_failure = startSegment(batch, true);
+        if (m_failure.ok())
+            m_failure = removeObsolete();
+        return m_failure;
+    }
+    m_failure = appendBatch(batch);
+    return m_failure;
+}
+
+absl::Status Store::appendBatch(const StoreBatch& batch)
+{
+    if (m_segmentSize >= m_options.segmentBytes) {
+        if (absl::Status status = startSegment({}, false); !status.ok())
+            return status;
+    }
+    for (const std::string& frame : encodeFrames(m_header, batch, false)) {
+        if (absl::Status status = m_segment->append(frame); !status.ok())
+            return status;
+        // Each frame is synced before the next is written; scanFile() relies on it.
+        if (absl::Status status = m_segment->sync(); !status.ok())
+            return status;
+        m_segmentSize += frame.size();
+    }
+    return absl::OkStatus();
+}
+
+std::vector<std::string> Store::encodeFrames(const detail::FileHeader& header, const StoreBatch& batch, bool reset)
+{
+    std::vector<std::string> frames;
+    detail::BatchFrame frame { reset, batch.state.has_value(), batch.state.value_or(HardState {}), {} };
+    size_t bytes = 0;
+    for (const LogEntry& entry : batch.entries) {
+        if (!frame.entries.empty() && bytes + entry.data.size() > m_options.frameBytes) {
+            frames.push_back(encodeFrame(header, m_nextSequence++, encodeMessage(frame)));
+            frame = {};
+            bytes = 0;
+        }
+        bytes += entry.data.size();
+        frame.entries.push_back(entry);
+    }
+    frames.push_back(encodeFrame(header, m_nextSequence++, encodeMessage(frame)));
+    return frames;
+}
+
+absl::Status Store::writeSnapshot(const LogSnapshot& snapshot)
+{
+    detail::FileHeader header { detail::FileKind::Snapshot, m_random.next(), m_instance, 0 };
+    std::string bytes = encodeFileHeader(header);
+    bytes += encodeFrame(
+        header, 0, encodeMessage(detail::SnapshotFrame { snapshot.index, snapshot.term, snapshot.configuration }));
+    bytes += encodeFrame(header, 1, snapshot.data);
+    std::string name = numberedName(snapshotPrefix, snapshot.index);
+    if (absl::Status status = writeWhole(name, bytes); !status.ok())
+        return status;
+    m_snapshotName = name;
+    return absl::OkStatus();
+}
+
+absl::Status Store::startSegment(const StoreBatch& checkpoint, bool reset)
+{
+    detail::FileHeader header { detail::FileKind::Segment, m_random.next(), m_instance, m_nextSequence };
+    std::string name = numberedName(segmentPrefix, m_nextSequence);
+    std::string bytes = encodeFileHeader(header);
+    if (reset) {
+        for (const std::string& frame : encodeFrames(header, checkpoint, true))
+            bytes += frame;
+    }
+    if (absl::Status status = writeWhole(name, bytes); !status.ok())
+        return status;
+    absl::StatusOr<std::unique_ptr<AppendFile>> file = m_files.openForAppend(path(name));
+    if (!file.ok())
+        return file.status();
+    m_segment = std::move(*file);
+    m_header = header;
+    m_segmentSize = bytes.size();
+    // The name is taken already when the newest segment has no frame yet; the new file has replaced it.
+    if (m_segmentNames.empty() || m_segmentNames.back() != name)
+        m_segmentNames.push_back(name);
+    if (reset)
+        m_resetSegment = name;
+    return absl::OkStatus();
+}
+
+// The file appears under its name only with its whole content, so no reader ever sees a part of it.
+absl::Status Store::writeWhole(const std::string& name, const std::string& bytes)
+{
+    {
+        absl::StatusOr<std::unique_ptr<AppendFile>> file = m_files.openForAppend(path(temporaryName));
+        if (!file.ok())
+            return file.status();
+        if (absl::Status status = (*file)->append(bytes); !status.ok())
+            return status;
+        if (absl::Status status = (*file)->sync(); !status.ok())
+            return status;
+    }
+    if (absl::Status status = m_files.rename(path(temporaryName), path(name)); !status.ok())
+        return status;
+    return m_files.syncDirectory(m_folder);
+}
+
+} // namespace cicadaward
