--- /dev/null
+++ b/libs/request/types.h
@@ -0,0 +1,76 @@
+// Values that the request library, the daemon and the peers exchange: a parsed request, an answer of a target, and what
+// the caller is told.
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cicadaward {
+
+// Number of a caller's connection. The daemon assigns it and never reuses it.
+using ConnectionId = Id<struct ConnectionTag, uint64_t>;
+
+// Number of one try to run a request at one target: unique among all processes and restarts (random, 64 bits).
+using AttemptId = Id<struct AttemptTag, uint64_t>;
+
+// 128-bit hash that detects another body or a damaged transfer. Not cryptographic.
+struct Digest {
+    uint64_t high = 0;
+    uint64_t low = 0;
+
+    friend bool operator==(const Digest& a, const Digest& b) { return a.high == b.high && a.low == b.low; }
+    friend bool operator!=(const Digest& a, const Digest& b) { return !(a == b); }
+};
+
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
+
+// A whole request, as it goes to a target. Hop-by-hop fields have been removed from `headers`.
+struct Request {
+    std::string method;
+    std::string path;
+    HeaderList headers;
+    std::string body;
+    std::string key; // Idempotency-Key; may be empty when the request is repeatable
+    bool repeatable = false;
+    Duration timeout {}; // remaining time when it was received
+    uint32_t caller = 0; // IPv4 address of the caller; the retry budget and the queue are fair between callers
+    std::string traceParent;
+    bool keepAlive = true;
+};
+
+// A whole answer of a target.
+struct Answer {
+    uint16_t status = 0;
+    HeaderList headers;
+    std::string body;
+};
+
+enum class Outcome : uint8_t {
+    Answered = 0,
+    NotRun = 1, // true without exception: no target has begun the request
+    Unknown = 2,
+    // Not run or unknown because the deadline has passed or the caller has cancelled; `Reply::mayHaveRun` tells which.
+    Cancelled = 3,
+};
+
+// What the caller is told. formatReply() in http_writer.h turns it into HTTP.
+struct Reply {
+    Outcome outcome = Outcome::NotRun;
+    bool mayHaveRun = false; // of Cancelled: 504 "unknown" instead of 503 "not-run"
+    uint16_t status = 503;
+    Duration retryAfter {}; // 0 for none
+    std::string reason; // body of a refusal, one line
+    std::shared_ptr<const Answer> answer; // of Answered
+};
+
+// Digest of the parts of a request that must be equal when an id is used again: method, path and body.
+Digest requestDigest(const Request& request);
+Digest answerDigest(const Answer& answer);
+
+} // namespace cicadaward
