--- a/libs/control/control_client.h
+++ b/libs/control/control_client.h
@@ -103,7 +103,10 @@
 
     // Version (0, 0) before the first answer. An agent's directory holds only its own service and that one's members.
     const std::shared_ptr<const Directory>& directory() const { return m_directory; }
-    Contact contact() const { return m_contact; }
+    Contact contact() const { return m_contact; } // as of the last event
+    // When the lease ends; nothing before the first backed answer. No directory without this process is published
+    // earlier, unless it left or a later process took its name.
+    std::optional<Time> leaseEnd() const { return m_backed ? std::optional<Time>(*m_backed + lease()) : std::nullopt; }
     size_t instance() const { return m_order[m_position]; }
     uint64_t instanceChanges() const { return m_instanceChanges; }
     // Directories refused because they were not newer or would lower the manifest epoch.
--- a/libs/control/control_instance.cc
+++ b/libs/control/control_instance.cc
@@ -12,22 +12,25 @@
     constexpr size_t maxNames = 64;
     constexpr size_t maxLocals = 8192;
 
-    void appendId(std::string& bytes, MemberId id)
+    uint16_t fingerprintOf(const MemberRecord& record) { return recordFingerprint(record.process, record.revision); }
+
+    constexpr size_t aliveSize = 10;
+
+    void appendAlive(std::string& bytes, MemberId id, uint16_t fingerprint)
     {
         for (int shift = 56; shift >= 0; shift -= 8)
             bytes += static_cast<char>(id.value() >> shift);
+        bytes += static_cast<char>(fingerprint >> 8);
+        bytes += static_cast<char>(fingerprint);
     }
 
-    std::vector<MemberId> readIds(const std::string& bytes)
+    std::pair<MemberId, uint16_t> readAlive(const std::string& bytes, size_t offset)
     {
-        std::vector<MemberId> ids;
-        for (size_t i = 0; i + 8 <= bytes.size(); i += 8) {
-            uint64_t value = 0;
-            for (size_t j = 0; j < 8; ++j)
-                value = value << 8 | static_cast<unsigned char>(bytes[i + j]);
-            ids.emplace_back(value);
-        }
-        return ids;
+        auto byte = [&](size_t i) { return static_cast<unsigned char>(bytes[offset + i]); };
+        uint64_t id = 0;
+        for (size_t i = 0; i < 8; ++i)
+            id = id << 8 | byte(i);
+        return { MemberId(id), static_cast<uint16_t>(byte(8) << 8 | byte(9)) };
     }
 
     // News that must not wait for the next batch: the process takes no new work any more.
@@ -45,6 +48,7 @@
     , m_membership(clock, m_settings.membership)
     , m_publisher(clock, m_settings.publisher)
     , m_relay(clock, m_settings.relay)
+    , m_batchSequence(random.next() >> 16) // an answer to an earlier start of this process matches nothing
     , m_lastBatch(clock.now())
 {
 }
@@ -182,7 +186,7 @@
 
 bool ControlInstance::takeAtLeader(MemberId id, const MemberRecord& record, bool full, AnnounceStatus& status)
 {
-    if (!full && m_membership.renew(id))
+    if (!full && m_membership.renew(id, detail::fingerprintOf(record)))
         return true;
     status = m_membership.announce(record);
     if (status == AnnounceStatus::Accepted)
@@ -225,7 +229,7 @@
         bool unsent = local.request && local.requestBatch == 0;
         if (local.confirmed) {
             if (unsent)
-                detail::appendId(batch.alive, id);
+                detail::appendAlive(batch.alive, id, detail::fingerprintOf(local.record));
         } else if (unsent || local.sentIn == 0 || now - local.sentAt >= 2 * m_settings.batchInterval) {
             if (batch.records.size() >= detail::maxRecordsPerBatch)
                 continue;
@@ -254,8 +258,9 @@
         if (status != AnnounceStatus::Accepted)
             reply.refused.push_back({ memberIdOf(record.name), record.process, status });
     }
-    for (MemberId id : detail::readIds(batch.alive)) {
-        if (!m_membership.renew(id))
+    for (size_t offset = 0; offset + detail::aliveSize <= batch.alive.size(); offset += detail::aliveSize) {
+        auto [id, fingerprint] = detail::readAlive(batch.alive, offset);
+        if (!m_membership.renew(id, fingerprint))
             reply.needRecord.push_back(id);
     }
     for (const EpochAcknowledgement& acknowledgement : batch.acknowledgements)
--- a/libs/control/control_instance.h
+++ b/libs/control/control_instance.h
@@ -20,7 +20,7 @@
 #include "control/membership.h"
 #include "core/random.h"
 
-#include <absl/container/flat_hash_map.h>
+#include <map>
 
 namespace cicadaward {
 
@@ -183,12 +183,13 @@
     DirectoryVersion m_seen;
     Epoch m_seenEpoch;
 
-    absl::flat_hash_map<MemberId, Local> m_locals;
+    // Ordered, so that equal seeds give equal runs.
+    std::map<MemberId, Local> m_locals;
     std::vector<MemberRecord> m_olderRecords; // of replaced processes, for the leader's search for duplicates
-    absl::flat_hash_map<uint64_t, Waiting> m_waiting; // by command token
+    std::map<uint64_t, Waiting> m_waiting; // by command token
     std::vector<std::string> m_findings; // the last 64
 
-    uint64_t m_batchSequence = 0;
+    uint64_t m_batchSequence;
     Time m_lastBatch;
     bool m_flushNow = false;
 };
--- a/libs/control/dissemination.cc
+++ b/libs/control/dissemination.cc
@@ -1,6 +1,5 @@
 #include "control/dissemination.h"
 
-#include <absl/container/flat_hash_set.h>
 #include <algorithm>
 
 namespace cicadaward {
--- a/libs/control/dissemination.h
+++ b/libs/control/dissemination.h
@@ -17,8 +17,8 @@
 #include "control/messages.h"
 #include "core/clock.h"
 
-#include <absl/container/flat_hash_map.h>
 #include <deque>
+#include <map>
 #include <memory>
 
 namespace cicadaward {
@@ -94,9 +94,10 @@
     std::shared_ptr<const Directory> m_current;
     std::deque<Change> m_history;
     size_t m_historyIds = 0;
-    absl::flat_hash_map<MemberId, Subscriber> m_subscribers;
+    // Ordered, so that equal seeds give equal runs.
+    std::map<MemberId, Subscriber> m_subscribers;
     std::vector<std::pair<RequestId, WatchReply>> m_replaced;
-    absl::flat_hash_map<MemberId, Epoch> m_acknowledgements;
+    std::map<MemberId, Epoch> m_acknowledgements;
     mutable uint64_t m_snapshots = 0;
 };
 
--- a/libs/control/membership.cc
+++ b/libs/control/membership.cc
@@ -69,12 +69,14 @@
     return AnnounceStatus::Accepted;
 }
 
-bool Membership::renew(MemberId id)
+bool Membership::renew(MemberId id, uint16_t fingerprint)
 {
     auto found = m_members.find(id);
     if (found == m_members.end())
         return false;
     Entry& entry = found->second;
+    if (recordFingerprint(entry.record.process, entry.record.revision) != fingerprint)
+        return false;
     entry.leaseEnd = std::max(entry.leaseEnd, m_clock.now() + lease(entry.record));
     return true;
 }
--- a/libs/control/membership.h
+++ b/libs/control/membership.h
@@ -57,8 +57,8 @@
     void reset();
 
     AnnounceStatus announce(const MemberRecord& record);
-    // Renews the lease; false when the member is unknown.
-    bool renew(MemberId id);
+    // Renews the lease; false when the member is unknown or its record has another fingerprint.
+    bool renew(MemberId id, uint16_t fingerprint);
     void acknowledge(MemberId id, Epoch epoch);
     void tick(bool quorumHeard);
 
--- a/libs/control/membership_test.cc
+++ b/libs/control/membership_test.cc
@@ -38,12 +38,13 @@
     CHECK(f.membership.announce(agentRecord("agent-1", 5)) == AnnounceStatus::Accepted);
     f.run(2900ms);
     CHECK(f.present());
-    CHECK(f.membership.renew(f.id));
+    CHECK(f.membership.renew(f.id, recordFingerprint(Incarnation(5), 1)));
+    CHECK_FALSE(f.membership.renew(f.id, recordFingerprint(Incarnation(5), 2)));
     f.run(2900ms);
     CHECK(f.present());
     f.run(200ms);
     CHECK_FALSE(f.present());
-    CHECK_FALSE(f.membership.renew(f.id));
+    CHECK_FALSE(f.membership.renew(f.id, recordFingerprint(Incarnation(5), 1)));
 }
 
 TEST_CASE("records are checked against what is known of the process", "[control][membership]")
--- a/libs/control/messages.h
+++ b/libs/control/messages.h
@@ -47,6 +47,13 @@
         name, role, state, service, dataCentre, tunnel, capacity, process, target, intervalMs, revision, leaving)
 };
 
+// Tells two records of one process, and two processes of one name, apart in batches. Consecutive revisions differ
+// always, other pairs with 65,535 in 65,536.
+inline uint16_t recordFingerprint(Incarnation process, uint64_t revision)
+{
+    return static_cast<uint16_t>(mixHash(process.value(), 0) + revision);
+}
+
 struct Announcement {
     MemberId id;
     Incarnation process;
@@ -109,7 +116,9 @@
     DirectoryVersion seen; // highest version seen in any announcement
     Epoch seenEpoch;
     std::vector<MemberRecord> records; // new or changed, until the leader confirms the batch
-    std::string alive; // member ids that announced themselves without change, 8 bytes each, big endian
+    // Members that announced themselves without change, 10 bytes each: id and fingerprint of the record, big endian.
+    // The fingerprint keeps a member from being renewed with an older record that another instance brought back.
+    std::string alive;
     std::vector<EpochAcknowledgement> acknowledgements;
 
     MSGPACK_DEFINE_ARRAY(sequence, term, known, seen, seenEpoch, records, alive, acknowledgements)
