--- a/libs/control/membership_test.cc
+++ b/libs/control/membership_test.cc
@@ -7,7 +7,7 @@
 
 using namespace cicadaward;
 using namespace cicadaward::control;
-using namespace cicadaward::test;
+using namespace cicadaward::control::test;
 using namespace std::chrono_literals;
 
 namespace {
--- a/libs/control/schedule_test.cc
+++ b/libs/control/schedule_test.cc
@@ -10,7 +10,8 @@
 #include <map>
 
 using namespace cicadaward;
-using namespace cicadaward::test;
+using namespace cicadaward::control;
+using namespace cicadaward::control::test;
 using namespace std::chrono_literals;
 
 namespace {
--- a/libs/control/simulation.cc
+++ b/libs/control/simulation.cc
@@ -1,6 +1,6 @@
 #include "control/simulation.h"
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 namespace detail {
 
@@ -406,4 +406,4 @@
     at(now() + detail::raftInterval, [this] { raftTick(); });
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::control
--- a/libs/control/simulation.h
+++ b/libs/control/simulation.h
@@ -16,7 +16,7 @@
 #include <functional>
 #include <queue>
 
-namespace cicadaward {
+namespace cicadaward::control {
 
 struct SimulationSettings {
     size_t instances = 3;
@@ -138,4 +138,4 @@
     Time m_quorumAt;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::control
--- a/libs/control/test_support.h
+++ b/libs/control/test_support.h
@@ -4,7 +4,7 @@
 #include "control/messages.h"
 #include "core/random.h"
 
-namespace cicadaward::test {
+namespace cicadaward::control::test {
 
 inline Manifest sampleManifest(uint64_t version, uint64_t replaces)
 {
@@ -65,4 +65,4 @@
     return bytes;
 }
 
-} // namespace cicadaward::test
+} // namespace cicadaward::control::test
--- a/libs/net/http_server.cc
+++ b/libs/net/http_server.cc
@@ -52,7 +52,7 @@
                     if (!error)
                         self->handle();
                     else if (error == http::error::body_limit)
-                        self->write(413, "text/plain", "the body is larger than the limit\n");
+                        self->refuse(413, "text/plain", "the body is larger than the limit\n");
                 });
         }
 
@@ -67,6 +67,14 @@
                 });
         }
 
+        // The rest of the request is not read, so the connection cannot be used again.
+        void refuse(unsigned status, const std::string& contentType, std::string body)
+        {
+            m_request = {};
+            m_request.keep_alive(false);
+            write(status, contentType, std::move(body));
+        }
+
         void write(unsigned status, const std::string& contentType, std::string body)
         {
             m_response = {};
--- a/libs/raft/codec.h
+++ b/libs/raft/codec.h
@@ -10,19 +10,20 @@
 {
     namespace adaptor {
 
-        CICADAWARD_CODEC(cicadaward::Configuration, 2, v.voters, v.learners)
-        CICADAWARD_CODEC(cicadaward::VoteRequest, 4, v.preVote, v.transfer, v.lastIndex, v.lastTerm)
-        CICADAWARD_CODEC(cicadaward::VoteReply, 2, v.preVote, v.granted)
-        CICADAWARD_CODEC(cicadaward::AppendRequest, 5, v.previousIndex, v.previousTerm, v.commit, v.sentAt, v.entries)
-        CICADAWARD_CODEC(cicadaward::AppendReply, 5, v.accepted, v.index, v.indexTerm, v.previousIndex, v.sentAt)
+        CICADAWARD_CODEC(cicadaward::raft::Configuration, 2, v.voters, v.learners)
+        CICADAWARD_CODEC(cicadaward::raft::VoteRequest, 4, v.preVote, v.transfer, v.lastIndex, v.lastTerm)
+        CICADAWARD_CODEC(cicadaward::raft::VoteReply, 2, v.preVote, v.granted)
         CICADAWARD_CODEC(
-            cicadaward::SnapshotChunk, 7, v.index, v.term, v.configuration, v.offset, v.total, v.sentAt, v.data)
-        CICADAWARD_CODEC(cicadaward::SnapshotReply, 3, v.index, v.received, v.sentAt)
-        CICADAWARD_CODEC(cicadaward::TimeoutNow, 1, v.lastIndex)
+            cicadaward::raft::AppendRequest, 5, v.previousIndex, v.previousTerm, v.commit, v.sentAt, v.entries)
+        CICADAWARD_CODEC(cicadaward::raft::AppendReply, 5, v.accepted, v.index, v.indexTerm, v.previousIndex, v.sentAt)
+        CICADAWARD_CODEC(
+            cicadaward::raft::SnapshotChunk, 7, v.index, v.term, v.configuration, v.offset, v.total, v.sentAt, v.data)
+        CICADAWARD_CODEC(cicadaward::raft::SnapshotReply, 3, v.index, v.received, v.sentAt)
+        CICADAWARD_CODEC(cicadaward::raft::TimeoutNow, 1, v.lastIndex)
 
         // [from, to, term, number of the body's type, body]
-        template <> struct convert<cicadaward::RaftMessage> {
-            const msgpack::object& operator()(const msgpack::object& o, cicadaward::RaftMessage& v) const
+        template <> struct convert<cicadaward::raft::RaftMessage> {
+            const msgpack::object& operator()(const msgpack::object& o, cicadaward::raft::RaftMessage& v) const
             {
                 if (o.type != msgpack::type::ARRAY || o.via.array.size < 5)
                     throw msgpack::type_error();
@@ -45,9 +46,10 @@
                 }
             }
         };
-        template <> struct pack<cicadaward::RaftMessage> {
+        template <> struct pack<cicadaward::raft::RaftMessage> {
             template <typename Stream>
-            msgpack::packer<Stream>& operator()(msgpack::packer<Stream>& out, const cicadaward::RaftMessage& v) const
+            msgpack::packer<Stream>& operator()(
+                msgpack::packer<Stream>& out, const cicadaward::raft::RaftMessage& v) const
             {
                 out.pack_array(5);
                 out.pack(v.from).pack(v.to).pack(v.term).pack(v.body.index());
--- a/libs/raft/configuration.h
+++ b/libs/raft/configuration.h
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <vector>
 
-namespace cicadaward {
+namespace cicadaward::raft {
 
 struct Configuration {
     std::vector<InstanceId> voters; // sorted
@@ -30,4 +30,4 @@
     Remove, // a voter or learner leaves
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::raft
--- a/libs/raft/events.h
+++ b/libs/raft/events.h
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-namespace cicadaward {
+namespace cicadaward::raft {
 
 // Time has passed. Send one at least every quarter of the heartbeat interval.
 struct Tick { };
@@ -110,4 +110,4 @@
 using RaftAction = std::variant<SendMessage, Persist, ApplyEntries, InstallSnapshot, BecameLeader, BecameFollower,
     RequestResult, StopReady>;
 
-} // namespace cicadaward
+} // namespace cicadaward::raft
--- a/libs/raft/messages.h
+++ b/libs/raft/messages.h
@@ -8,7 +8,7 @@
 #include <variant>
 #include <vector>
 
-namespace cicadaward {
+namespace cicadaward::raft {
 
 // With `preVote`, the term of the message is the one that the sender would start; nobody changes state for it.
 struct VoteRequest {
@@ -69,4 +69,4 @@
     std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply, TimeoutNow> body;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::raft
--- a/libs/raft/raft.cc
+++ b/libs/raft/raft.cc
@@ -9,7 +9,7 @@
 
 #include <algorithm>
 
-namespace cicadaward {
+namespace cicadaward::raft {
 
 StoreBatch bootstrapBatch(std::vector<InstanceId> voters)
 {
@@ -262,4 +262,4 @@
     return status;
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::raft
--- a/libs/raft/raft.h
+++ b/libs/raft/raft.h
@@ -28,7 +28,7 @@
 #include <utility>
 #include <vector>
 
-namespace cicadaward {
+namespace cicadaward::raft {
 
 struct RaftOptions {
     Duration electionTimeout = std::chrono::seconds(1); // elections start after one to two of these
@@ -231,4 +231,4 @@
     uint64_t m_messagesDropped = 0;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::raft
--- a/libs/raft/raft_election.cc
+++ b/libs/raft/raft_election.cc
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-namespace cicadaward {
+namespace cicadaward::raft {
 
 void Raft::restartElectionTimer()
 {
@@ -133,4 +133,4 @@
         m_actions.emplace_back(BecameFollower { m_state.term, leader });
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::raft
--- a/libs/raft/raft_log.cc
+++ b/libs/raft/raft_log.cc
@@ -2,7 +2,7 @@
 
 #include "raft/codec.h"
 
-namespace cicadaward::detail {
+namespace cicadaward::raft::detail {
 
 std::optional<Configuration> parseConfiguration(const std::string& bytes)
 {
@@ -97,4 +97,4 @@
     return m_configurations[i].second;
 }
 
-} // namespace cicadaward::detail
+} // namespace cicadaward::raft::detail
--- a/libs/raft/raft_log.h
+++ b/libs/raft/raft_log.h
@@ -8,7 +8,7 @@
 #include <optional>
 #include <utility>
 
-namespace cicadaward::detail {
+namespace cicadaward::raft::detail {
 
 // Returns nothing for bytes that are not a valid configuration.
 std::optional<Configuration> parseConfiguration(const std::string& bytes);
@@ -52,4 +52,4 @@
     std::vector<std::pair<LogIndex, Configuration>> m_configurations { { 0, {} } };
 };
 
-} // namespace cicadaward::detail
+} // namespace cicadaward::raft::detail
--- a/libs/raft/raft_membership.cc
+++ b/libs/raft/raft_membership.cc
@@ -9,7 +9,7 @@
 
 #include <algorithm>
 
-namespace cicadaward {
+namespace cicadaward::raft {
 
 namespace {
 
@@ -186,4 +186,4 @@
     m_actions.emplace_back(StopReady {});
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::raft
--- a/libs/raft/raft_replication.cc
+++ b/libs/raft/raft_replication.cc
@@ -9,7 +9,7 @@
 #include <algorithm>
 #include <functional>
 
-namespace cicadaward {
+namespace cicadaward::raft {
 
 namespace {
 
@@ -325,4 +325,4 @@
         sendChunk(from, peer);
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::raft
--- a/libs/raft/raft_schedule_test.cc
+++ b/libs/raft/raft_schedule_test.cc
@@ -15,6 +15,7 @@
 #include <stdexcept>
 
 using namespace cicadaward;
+using namespace cicadaward::raft;
 
 namespace {
 
@@ -228,7 +229,7 @@
         auto [known, isNew] = m_leaders.emplace(action.term, instance.id);
         require(isNew || known->second == instance.id, "two leaders in term " + std::to_string(action.term.value()));
         // Leader completeness; log matching extends it to all earlier entries.
-        const detail::RaftLog& log = instance.raft->log();
+        const raft::detail::RaftLog& log = instance.raft->log();
         LogIndex last = m_committed.size();
         require(last == 0 || last < log.baseIndex() || log.termAt(last) == m_committed.back().term,
             "leader of term " + std::to_string(action.term.value()) + " lacks committed entry " + std::to_string(last));
--- a/libs/request/agent_requests.cc
+++ b/libs/request/agent_requests.cc
@@ -3,7 +3,7 @@
 #include "request/remote_runs.h"
 #include "request/request_machine.h"
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 namespace detail {
 
@@ -269,4 +269,4 @@
 
 AgentRequests::Load AgentRequests::load() const { return m_impl->load(); }
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/agent_requests.h
+++ b/libs/request/agent_requests.h
@@ -27,7 +27,7 @@
 #include <variant>
 #include <vector>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 constexpr size_t maxPeerMessage = 8192; // bytes
 
@@ -169,4 +169,4 @@
     std::unique_ptr<Impl> m_impl;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/agent_view.h
+++ b/libs/request/agent_view.h
@@ -10,7 +10,7 @@
 #include <deque>
 #include <utility>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 // Collects actions. Messages to this agent itself do not leave it; they are delivered at the end of the event.
 class Outbox {
@@ -112,4 +112,4 @@
     }
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/blob_transfer.cc
+++ b/libs/request/blob_transfer.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 StoredAnswer BlobTransfer::keep(std::string bytes, Duration lifetime)
 {
@@ -124,4 +124,4 @@
     }
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/blob_transfer.h
+++ b/libs/request/blob_transfer.h
@@ -14,7 +14,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <map>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 class BlobTransfer {
 public:
@@ -73,4 +73,4 @@
     std::vector<Done> m_done;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/bucket_sync.cc
+++ b/libs/request/bucket_sync.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 namespace detail {
 
@@ -359,4 +359,4 @@
     return true;
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/bucket_sync.h
+++ b/libs/request/bucket_sync.h
@@ -22,7 +22,7 @@
 
 #include <map>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 class BucketSync {
 public:
@@ -97,4 +97,4 @@
     std::map<MemberId, std::pair<Incarnation, Time>> m_departed; // absent from the directory, since when
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/fake_system.h
+++ b/libs/request/fake_system.h
@@ -12,7 +12,7 @@
 #include <set>
 #include <string>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 struct FakeSystemOptions {
     uint64_t seed = 1;
@@ -459,4 +459,4 @@
     FakeSystemResult m_result;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/http_reader.cc
+++ b/libs/request/http_reader.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <boost/beast/http.hpp>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 namespace http = boost::beast::http;
 
@@ -206,4 +206,4 @@
     return false;
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/http_reader.h
+++ b/libs/request/http_reader.h
@@ -24,7 +24,7 @@
 #include <string>
 #include <variant>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 struct HttpLimits {
     size_t headerBytes = 16 << 10;
@@ -68,4 +68,4 @@
     bool m_failed = false;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/http_writer.cc
+++ b/libs/request/http_writer.cc
@@ -5,7 +5,7 @@
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http.hpp>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 namespace http = boost::beast::http;
 
@@ -105,4 +105,4 @@
     return detail::serialize(message, false);
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/http_writer.h
+++ b/libs/request/http_writer.h
@@ -11,7 +11,7 @@
 
 #include <string>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 std::string formatReply(const Reply& reply, bool close, bool headOnly);
 // Bad input: nothing has run. The connection is closed after it.
@@ -19,4 +19,4 @@
 // With Request-Timeout-Ms, traceparent and Content-Length; the connection stays open.
 std::string formatTargetRequest(const Request& request, Duration remaining);
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/ledger.cc
+++ b/libs/request/ledger.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 namespace detail {
 
@@ -266,4 +266,4 @@
     }
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/ledger.h
+++ b/libs/request/ledger.h
@@ -12,7 +12,7 @@
 
 #include "request/bucket_sync.h"
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 class Ledger {
 public:
@@ -67,4 +67,4 @@
     std::map<std::string, Report> m_reports; // by key
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/local_target.cc
+++ b/libs/request/local_target.cc
@@ -1,6 +1,6 @@
 #include "request/local_target.h"
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 std::optional<Duration> LocalTarget::submit(const Job& job)
 {
@@ -106,4 +106,4 @@
     reportDropped();
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/local_target.h
+++ b/libs/request/local_target.h
@@ -12,7 +12,7 @@
 #include "request/agent_view.h"
 #include "request/work_queue.h"
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 class LocalTarget {
 public:
@@ -75,4 +75,4 @@
     std::vector<Result> m_results;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/messages.cc
+++ b/libs/request/messages.cc
@@ -4,15 +4,15 @@
 #include "directory/codec.h"
 #include "request/agent_requests.h"
 
-MSGPACK_ADD_ENUM(cicadaward::RecordState)
-MSGPACK_ADD_ENUM(cicadaward::ClaimVerdict)
-MSGPACK_ADD_ENUM(cicadaward::RunOutcome)
+MSGPACK_ADD_ENUM(cicadaward::request::RecordState)
+MSGPACK_ADD_ENUM(cicadaward::request::ClaimVerdict)
+MSGPACK_ADD_ENUM(cicadaward::request::RunOutcome)
 
 namespace msgpack {
 MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
 {
     namespace adaptor {
-        using namespace cicadaward; // NOLINT(google-build-using-namespace)
+        using namespace cicadaward::request; // NOLINT(google-build-using-namespace)
 
         CICADAWARD_CODEC(Digest, 2, v.high, v.low)
         CICADAWARD_CODEC(ClaimToken, 3, v.member, v.process, v.nonce)
@@ -40,7 +40,7 @@
 } // MSGPACK_API_VERSION_NAMESPACE
 } // namespace msgpack
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 namespace detail {
 
@@ -151,4 +151,4 @@
 
 Digest answerDigest(const Answer& answer) { return bytesDigest(encodeAnswer(answer)); }
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/messages.h
+++ b/libs/request/messages.h
@@ -16,7 +16,7 @@
 #include <variant>
 #include <vector>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 // Names one send of an id by one agent process. A process never uses a nonce twice, so "this claim was not run" stays
 // true for ever once the process has given the claim up.
@@ -191,4 +191,4 @@
 bool decodeRequest(const std::string& bytes, Request& request);
 Digest bytesDigest(const std::string& bytes);
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/record_store.cc
+++ b/libs/request/record_store.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 namespace detail {
 
@@ -118,4 +118,4 @@
     return record;
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/record_store.h
+++ b/libs/request/record_store.h
@@ -12,7 +12,7 @@
 
 #include <absl/container/btree_map.h>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 struct RecordKey {
     uint16_t bucket = 0;
@@ -81,4 +81,4 @@
     size_t m_bytes = 0;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/remote_runs.cc
+++ b/libs/request/remote_runs.cc
@@ -1,6 +1,6 @@
 #include "request/remote_runs.h"
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 void RemoteRuns::on(MemberId from, const RunRequest& message, uint64_t job)
 {
@@ -122,4 +122,4 @@
     }
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/remote_runs.h
+++ b/libs/request/remote_runs.h
@@ -9,7 +9,7 @@
 #include "request/ledger.h"
 #include "request/local_target.h"
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 class RemoteRuns {
 public:
@@ -59,4 +59,4 @@
     std::deque<std::pair<Time, AttemptId>> m_expiry;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/request_machine.cc
+++ b/libs/request/request_machine.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 namespace detail {
 
@@ -304,4 +304,4 @@
         m_parts.out.act(WriteReply { m_connection, std::move(reply), !m_request->keepAlive || m_parts.view.draining });
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/request_machine.h
+++ b/libs/request/request_machine.h
@@ -15,7 +15,7 @@
 #include "request/local_target.h"
 #include "request/retry_budget.h"
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 struct RequestParts {
     const AgentView& view;
@@ -95,4 +95,4 @@
     bool m_ranElsewhere = false; // Fetching: the answer belongs to this claim
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/request_schedule_test.cc
+++ b/libs/request/request_schedule_test.cc
@@ -8,6 +8,7 @@
 #include <iostream>
 
 using namespace cicadaward;
+using namespace cicadaward::request;
 
 namespace {
 
--- a/libs/request/request_test.cc
+++ b/libs/request/request_test.cc
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 using namespace cicadaward;
+using namespace cicadaward::request;
 using namespace std::chrono_literals;
 
 namespace {
--- a/libs/request/retry_budget.cc
+++ b/libs/request/retry_budget.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 RetryBudget::Entry& RetryBudget::entry(uint32_t caller)
 {
@@ -42,4 +42,4 @@
     return wait;
 }
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/retry_budget.h
+++ b/libs/request/retry_budget.h
@@ -18,7 +18,7 @@
 #include <list>
 #include <optional>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 class RetryBudget {
 public:
@@ -50,4 +50,4 @@
     std::list<uint32_t> m_recency; // most recent first
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/types.h
+++ b/libs/request/types.h
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 // Number of a caller's connection. The daemon assigns it and never reuses it.
 using ConnectionId = Id<struct ConnectionTag, uint64_t>;
@@ -73,4 +73,4 @@
 Digest requestDigest(const Request& request);
 Digest answerDigest(const Answer& answer);
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/work_queue.cc
+++ b/libs/request/work_queue.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 Duration WorkQueue::expectedWait(uint32_t caller) const
 {
@@ -109,4 +109,4 @@
 
 std::vector<WorkQueue::Job> WorkQueue::takeDropped() { return std::exchange(m_dropped, {}); }
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/request/work_queue.h
+++ b/libs/request/work_queue.h
@@ -21,7 +21,7 @@
 #include <optional>
 #include <vector>
 
-namespace cicadaward {
+namespace cicadaward::request {
 
 class WorkQueue {
 public:
@@ -79,4 +79,4 @@
     std::vector<Job> m_dropped;
 };
 
-} // namespace cicadaward
+} // namespace cicadaward::request
--- a/libs/settings/daemon_settings.cc
+++ b/libs/settings/daemon_settings.cc
@@ -73,7 +73,8 @@
         { "limits.max-flows", SettingType::Number, "flows", "65536", 1, 1 << 24, "most open flows held" },
         { "limits.max-requests", SettingType::Number, "requests", "1024", 1, 1 << 20,
             "most requests open at the same time" },
-        { "stop.limit-ms", SettingType::Milliseconds, "ms", "30000", 0, maxMs, "longest time that a planned stop takes" },
+        { "stop.limit-ms", SettingType::Milliseconds, "ms", "30000", 0, maxMs,
+            "longest time that a planned stop takes" },
     });
     return table;
 }
--- a/tools/experiment.h
+++ b/tools/experiment.h
@@ -61,6 +61,7 @@
     nlohmann::json requestMeasures() const;
     void addImbalance(nlohmann::json&) const;
     void addAvailability(nlohmann::json&) const;
+    void writeTimeline() const;
     double secondsSinceStart() const;
 
     boost::asio::io_context& m_context;
--- a/tools/experiment_measures.cc
+++ b/tools/experiment_measures.cc
@@ -85,6 +85,7 @@
         json["race_winners"] = m_raceWinners;
     addImbalance(json);
     addAvailability(json);
+    writeTimeline();
     return json;
 }
 
@@ -161,6 +162,32 @@
     json["imbalance"] = worst;
 }
 
+// One line for each second: requests by their last word, and the share of feeds that were open. Read by the plot script.
+void Experiment::writeTimeline() const
+{
+    struct Second {
+        uint64_t words[5] = { 0, 0, 0, 0, 0 };
+        double openShare = 1;
+    };
+    std::map<int64_t, Second> seconds;
+    for (const auto& requests : m_requests) {
+        for (const auto& [id, record] : requests->records())
+            ++seconds[record.startedAt / 1000].words[static_cast<size_t>(record.word)];
+    }
+    for (const Sample& sample : m_samples) {
+        Second& second = seconds[static_cast<int64_t>(sample.seconds)];
+        second.openShare = std::min(second.openShare, sample.openShare);
+    }
+    std::ofstream file(m_plan.topology.runFolder + "/timeline.csv");
+    file << "second,answered,not_run,unknown,lost,open_feeds\n";
+    for (const auto& [second, values] : seconds) {
+        file << second;
+        for (RequestWord word : { RequestWord::Answered, RequestWord::NotRun, RequestWord::Unknown, RequestWord::Lost })
+            file << "," << values.words[static_cast<size_t>(word)];
+        file << "," << values.openShare << "\n";
+    }
+}
+
 // Share of the requests answered, and the share of feeds that were open, over the run and in the worst second.
 void Experiment::addAvailability(nlohmann::json& json) const
 {
--- a/tools/topology.cc
+++ b/tools/topology.cc
@@ -68,6 +68,7 @@
         tree.put("control.peers", m_controlPeers);
         tree.put("control.announce-interval-ms", m_plan.announceMs);
         tree.put("control.lease-ms", 3 * m_plan.announceMs);
+        tree.put("admin.listen", formatEndpoint(nextEndpoint()));
     }
     tree.add("log.file", m_plan.runFolder + "/" + name + ".log");
     return tree;
