--- a/libs/request/bucket_sync.cc
+++ b/libs/request/bucket_sync.cc
@@ -281,16 +281,27 @@
     }
 }
 
-bool BucketSync::isAmnesic(const Session& session) const
+// The time before which an id may have been forgotten; nothing when the records are complete. Only records from before
+// the last loss can be missing, because every later claim has been copied to a member that still has it.
+std::optional<Time> BucketSync::forgottenBefore(const Session& session) const
 {
     size_t lost = 0;
-    for (const auto& [member, since] : m_lost)
-        lost += m_view.now() - since < m_view.config.recordLifetime ? 1 : 0;
+    Time last;
+    for (const auto& [member, since] : m_lost) {
+        if (m_view.now() - since >= m_view.config.recordLifetime)
+            continue;
+        ++lost;
+        last = std::max(last, since);
+    }
     bool nobodyAnswered
         = std::none_of(session.waits.begin(), session.waits.end(), [](const Wait& wait) { return wait.answered; });
     auto self = m_lost.find(m_view.config.self);
     bool selfLost = self != m_lost.end() && m_view.now() - self->second < m_view.config.recordLifetime;
-    return lost >= 2 || session.overflow || (selfLost && nobodyAnswered);
+    if (session.overflow)
+        return m_view.now();
+    if (lost >= 2 || (selfLost && nobodyAnswered))
+        return last;
+    return std::nullopt;
 }
 
 void BucketSync::settleWhenComplete(Session& session)
@@ -302,16 +313,17 @@
         if (!wait.done && !gone)
             return;
     }
-    bool amnesic = isAmnesic(session);
+    std::optional<Time> forgotten = forgottenBefore(session);
     uint64_t amnesicCount = 0;
     for (uint16_t id : session.buckets) {
         Bucket& bucket = m_buckets[id];
         if (bucket.promise > session.version)
             continue;
         bucket.settled = true;
-        if (amnesic) {
-            bucket.amnesiaWall = m_view.clock.wallTime();
-            bucket.amnesiaUntil = m_view.now() + m_view.config.recordLifetime;
+        if (forgotten) {
+            auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_view.now() - *forgotten);
+            bucket.amnesiaWall = m_view.clock.wallTime() - age;
+            bucket.amnesiaUntil = *forgotten + m_view.config.recordLifetime;
             ++amnesicCount;
         }
         m_store.markUncopied(id);
--- a/libs/request/bucket_sync.h
+++ b/libs/request/bucket_sync.h
@@ -21,6 +21,7 @@
 #include "request/record_store.h"
 
 #include <map>
+#include <optional>
 
 namespace cicadaward::request {
 
@@ -84,7 +85,7 @@
     void restartSessions();
     void ask(const Session& session, Wait& wait);
     void settleWhenComplete(Session& session);
-    bool isAmnesic(const Session& session) const;
+    std::optional<Time> forgottenBefore(const Session& session) const;
     void unsettle(uint16_t bucket);
 
     const AgentView& m_view;
--- a/tools/experiment.cc
+++ b/tools/experiment.cc
@@ -162,8 +162,9 @@
 {
     post("/v1/status", "", 100, [=](unsigned, const std::string& text) {
         auto json = nlohmann::json::parse(text, nullptr, false);
-        size_t members = json.is_object() ? json.value("members", size_t { 0 }) : 0;
-        if (members >= expected || m_clock.now() > deadline) {
+        bool complete = json.is_object() && json.value("members", size_t { 0 }) >= expected
+            && json.value("behindCount", size_t { 1 }) == 0 && json.value("/directory/sequence"_json_pointer, 0) > 0;
+        if (complete || m_clock.now() > deadline) {
             done();
             return;
         }
@@ -230,20 +231,24 @@
         schedule(std::chrono::milliseconds(50), [this] { finish(); });
         return;
     }
-    collect();
+    collectStats([this] {
+        for (const std::string& name : m_out)
+            noteSilence(name);
+        m_context.stop();
+    });
 }
 
-// Reads the counts of all targets that still run, then ends the run.
-void Experiment::collect()
+// Reads the counts of all targets that still run.
+void Experiment::collectStats(std::function<void()> done)
 {
     auto waiting = std::make_shared<size_t>(m_topology.targets().size());
     for (const TargetPlace& target : m_topology.targets()) {
-        ask(target.name, "/stats", [this, name = target.name, waiting](const std::string& text) {
+        ask(target.name, "/stats", [this, name = target.name, waiting, done](const std::string& text) {
             auto json = nlohmann::json::parse(text, nullptr, false);
             if (json.is_object())
                 m_stats[name] = json;
             if (--*waiting == 0)
-                m_context.stop();
+                done();
         });
     }
 }
--- a/tools/experiment.h
+++ b/tools/experiment.h
@@ -54,7 +54,9 @@
 
     void startCallers();
     void finish();
-    void collect();
+    void collectStats(std::function<void()> done);
+    void noteSilence(const std::string& dataCentre);
+    void changeDataCentre(const std::string& name, bool out);
     void updateExcuses();
 
     nlohmann::json measures() const;
--- a/tools/experiment_events.cc
+++ b/tools/experiment_events.cc
@@ -97,11 +97,22 @@
 
 void Experiment::setDataCentre(const std::string& name, bool out)
 {
-    m_out.erase(std::remove(m_out.begin(), m_out.end(), name), m_out.end());
-    if (out)
+    if (out) {
         m_out.push_back(name);
-    if (out)
         updateExcuses();
+        changeDataCentre(name, true);
+        return;
+    }
+    // The counts of the targets tell when the last packet reached them; they have to be read before traffic returns.
+    collectStats([this, name] {
+        noteSilence(name);
+        m_out.erase(std::remove(m_out.begin(), m_out.end(), name), m_out.end());
+        changeDataCentre(name, false);
+    });
+}
+
+void Experiment::changeDataCentre(const std::string& name, bool out)
+{
     applyManifest([this, name, out] {
         for (int i = 1; i <= m_plan.topology.entries; ++i) {
             std::string entryName = "entry-" + std::to_string(i);
@@ -111,20 +122,26 @@
             schedule(out ? detail::fabricDetection : Duration(0),
                 [this, entry, out] { out ? m_fabric->removeEntry(entry) : m_fabric->addEntry(entry); });
         }
-        if (out) {
+        if (out)
             m_outAt[name] = static_cast<double>(m_clock.wallTime().count());
-            return;
-        }
-        // Flows that ended with the data centre have been given up by now; new ones are counted again.
-        schedule(detail::excuseAfterStart, [this] { updateExcuses(); });
-        for (const TargetPlace& target : m_topology.targets()) {
-            if (target.dataCentre != name)
-                continue;
-            ask(target.name, "/stats", [](const std::string&) {});
-        }
+        else // Flows that ended with the data centre have been given up by now; new ones are counted again.
+            schedule(detail::excuseAfterStart, [this] { updateExcuses(); });
     });
 }
 
+// Time from the acceptance of the manifest that took the data centre out until the last packet reached a target there.
+void Experiment::noteSilence(const std::string& name)
+{
+    auto out = m_outAt.find(name);
+    for (const TargetPlace& target : m_topology.targets()) {
+        auto stats = m_stats.find(target.name);
+        if (target.dataCentre != name || out == m_outAt.end() || stats == m_stats.end())
+            continue;
+        double seconds = (stats->second.value("last_packet_ms", 0.0) - out->second) / 1000;
+        m_secondsToSilence = std::max(m_secondsToSilence, seconds);
+    }
+}
+
 void Experiment::killLeader()
 {
     post("/v1/status", "", 20, [this](unsigned, const std::string& text) {
--- a/tools/experiment_measures.cc
+++ b/tools/experiment_measures.cc
@@ -63,24 +63,16 @@
     uint64_t misdelivered = 0;
     uint64_t overAdmitted = 0;
     uint64_t opensWhileDraining = 0;
-    double silence = 0;
     for (const auto& [name, stats] : m_stats) {
         misdelivered += stats.value("misdelivered", uint64_t { 0 });
         overAdmitted += stats.value("over_admitted_flows", uint64_t { 0 })
             + stats.value("over_admitted_requests", uint64_t { 0 });
         opensWhileDraining += stats.value("opens_while_draining", uint64_t { 0 });
     }
-    for (const TargetPlace& target : m_topology.targets()) {
-        auto out = m_outAt.find(target.dataCentre);
-        auto stats = m_stats.find(target.name);
-        bool stillOut = std::find(m_out.begin(), m_out.end(), target.dataCentre) != m_out.end();
-        if (out != m_outAt.end() && stats != m_stats.end() && stillOut)
-            silence = std::max(silence, (stats->second.value("last_packet_ms", 0.0) - out->second) / 1000);
-    }
     json["misdelivered"] = misdelivered;
     json["over_admitted"] = overAdmitted;
     json["opens_while_draining"] = opensWhileDraining;
-    json["seconds_to_silence"] = silence;
+    json["seconds_to_silence"] = m_secondsToSilence;
     if (m_races > 0)
         json["race_winners"] = m_raceWinners;
     addImbalance(json);
@@ -162,7 +154,8 @@
     json["imbalance"] = worst;
 }
 
-// One line for each second: requests by their last word, and the share of feeds that were open. Read by the plot script.
+// One line for each second: requests by their last word, and the share of feeds that were open. Read by the plot
+// script.
 void Experiment::writeTimeline() const
 {
     struct Second {
