Reload key files safely and count the messages of each key

Cause: during a rotation a faulty key file must not replace working keys, and operators must see when the old key is no longer in use. Change: reloadKeys() replaces the keys only when the file has no finding. Authenticator::opened() counts the messages opened with each key. Tests replace the keys 2,000 times under three threads and reload faulty files.

--- a/libs/auth/auth_test.cc
+++ b/libs/auth/auth_test.cc
@@ -7,6 +7,7 @@
 #include <openssl/evp.h>
 #include <set>
 #include <sys/stat.h>
+#include <thread>
 
 using namespace cicadaward;
 
@@ -117,6 +118,64 @@
     CHECK(processes[0]->open(message, MessagePurpose::PeerMessage).status == OpenStatus::UnknownKey);
 }
 
+TEST_CASE("threads use replaced keys at once and never a mixture", "[auth]")
+{
+    // Guards against a thread that keeps or tears the keys while another one replaces them.
+    const KeyRing oneFirst = keysOf("1 " + hexA + "\n2 " + hexB);
+    const KeyRing twoFirst = keysOf("2 " + hexB + "\n1 " + hexA);
+    KeySource keys(oneFirst);
+    std::atomic<bool> stop { false };
+    std::atomic<size_t> refused { 0 };
+    std::vector<std::thread> threads;
+    threads.reserve(3);
+    for (int i = 0; i < 3; ++i) {
+        threads.emplace_back([&] {
+            Authenticator authenticator(keys);
+            uint64_t valid = 0;
+            while (!stop) {
+                std::string message = "m";
+                authenticator.seal(message, MessagePurpose::PeerMessage, ++valid);
+                if (authenticator.open(message, MessagePurpose::PeerMessage).status != OpenStatus::Valid)
+                    ++refused;
+            }
+            if (authenticator.opened(1) + authenticator.opened(2) != valid)
+                ++refused;
+        });
+    }
+    for (int i = 0; i < 2000; ++i)
+        keys.replace(i % 2 == 0 ? twoFirst : oneFirst);
+    stop = true;
+    for (std::thread& thread : threads)
+        thread.join();
+    CHECK(refused == 0);
+    Authenticator authenticator(keys);
+    for (const auto& [ring, id] : { std::pair { oneFirst, 1 }, std::pair { twoFirst, 2 } }) {
+        keys.replace(ring);
+        std::string message = "m";
+        authenticator.seal(message, MessagePurpose::PeerMessage, 1);
+        CHECK(authenticator.open(message, MessagePurpose::PeerMessage).keyId == id);
+    }
+}
+
+TEST_CASE("a faulty key file leaves the former keys in force", "[auth]")
+{
+    const std::string twice = "2 " + hexB + "\n2 " + hexA;
+    const std::string path = "auth_test_reload";
+    KeySource keys(keysOf("1 " + hexA));
+    Authenticator authenticator(keys);
+    for (const auto& [text, mode, id] : std::vector<std::tuple<std::string, mode_t, int>> {
+             { "", 0600, 1 }, { "2 " + hexB, 0644, 1 }, { twice, 0600, 1 }, { "2 " + hexB, 0600, 2 } }) {
+        std::ofstream(path) << text;
+        REQUIRE(::chmod(path.c_str(), mode) == 0);
+        Findings findings;
+        CHECK(reloadKeys(path, keys, findings) == (id == 2));
+        CHECK(findings.empty() == (id == 2));
+        std::string message = "m";
+        authenticator.seal(message, MessagePurpose::PeerMessage, 1);
+        CHECK(authenticator.open(message, MessagePurpose::PeerMessage).keyId == id);
+    }
+}
+
 TEST_CASE("faults of a key file are findings without key bytes", "[auth]")
 {
     const std::vector<std::pair<std::string, std::string>> cases {
--- a/libs/auth/authenticator.h
+++ b/libs/auth/authenticator.h
@@ -63,6 +63,9 @@
     // Removes the trailer when the result is Valid.
     OpenResult open(std::string& message, MessagePurpose purpose);
 
+    // Messages opened with this key since the start. A key may be removed when its count no longer grows anywhere.
+    uint64_t opened(uint8_t keyId) const { return m_opened[keyId]; }
+
 private:
     struct Context;
 
@@ -72,6 +75,7 @@
     const KeySource& m_source;
     uint64_t m_generation = 0;
     KeyRing m_keys;
+    std::array<uint64_t, 256> m_opened {};
     std::unique_ptr<Context> m_context;
 };
 
--- a/libs/auth/keys.cc
+++ b/libs/auth/keys.cc
@@ -168,4 +168,16 @@
     return m_keys;
 }
 
+bool reloadKeys(const std::string& path, KeySource& keys, Findings& findings)
+{
+    Findings own;
+    KeyRing loaded = loadKeys(path, own);
+    for (const Finding& finding : own.all())
+        findings.add(finding.place, finding.message);
+    if (!own.empty())
+        return false;
+    keys.replace(std::move(loaded));
+    return true;
+}
+
 } // namespace cicadaward
--- a/libs/auth/keys.h
+++ b/libs/auth/keys.h
@@ -4,9 +4,8 @@
 //     Findings findings;
 //     KeySource keys(loadKeys("/etc/cicadaward/keys", findings));
 //     ...
-//     KeyRing newer = loadKeys("/etc/cicadaward/keys", reloadFindings); // on reload
-//     if (reloadFindings.empty())
-//         keys.replace(newer); // every Authenticator uses the new keys from its next message on
+//     if (!reloadKeys("/etc/cicadaward/keys", keys, reloadFindings)) // every Authenticator uses the new keys at once
+//         log.write(EventId::KeysRefused, { { "findings", reloadFindings.report() } }); // the former keys stay
 #pragma once
 
 #include "core/findings.h"
@@ -62,4 +61,7 @@
     std::atomic<uint64_t> m_generation { 1 };
 };
 
+// Replaces the keys by those of the file, or, when there is any finding, changes nothing and returns false.
+bool reloadKeys(const std::string& path, KeySource& keys, Findings& findings);
+
 } // namespace cicadaward
