Do not close peers as silent after a halt of the own process

Cause: when a process is halted for longer than the silence limit, its keep-alive timer can run before the bytes that have arrived meanwhile are read, and a healthy peer was closed. Change: the timer looks for unread bytes first. The test for it fails without the change. Settings and traceparent are also tested with changed input by seed. Conclusion: a short halt of one process no longer costs it its connections at its own end.

--- a/libs/observe/observe_test.cc
+++ b/libs/observe/observe_test.cc
@@ -151,6 +151,25 @@
     }
 }
 
+TEST_CASE("changed traceparents are refused or keep valid ids", "[observe]")
+{
+    for (uint64_t seed = 1; seed <= 3000; ++seed) {
+        INFO("seed " << seed);
+        Random random(seed);
+        std::string text = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+        for (uint64_t i = random.below(3); i > 0; --i)
+            text[random.below(text.size())] = static_cast<char>(random.next());
+        if (random.below(4) == 0)
+            text.resize(random.below(70), '0');
+        const auto context = parseTraceparent(text);
+        if (!context)
+            continue;
+        CHECK((context->traceHigh | context->traceLow) != 0);
+        CHECK(context->span != 0);
+        CHECK(parseTraceparent(formatTraceparent(*context)));
+    }
+}
+
 TEST_CASE("a span keeps the trace of its parent and becomes one JSON line", "[observe]")
 {
     ManualClock clock;
--- a/libs/settings/settings_test.cc
+++ b/libs/settings/settings_test.cc
@@ -1,3 +1,4 @@
+#include "core/random.h"
 #include "settings/command_line.h"
 #include "settings/daemon_settings.h"
 
@@ -94,6 +95,32 @@
            "key\n");
 }
 
+TEST_CASE("changed text gives valid values or findings, never a crash", "[settings]")
+{
+    const std::string valid = "[a]\nname = x\ncount=3\nwait-ms=7\nlimit-ms=9\n[b]\non=true\nat=1.2.3.4:5\n"
+                              "peers=1.2.3.4:5,6.7.8.9:10\nnamed=n=1.2.3.4:5\n";
+    for (uint64_t seed = 1; seed <= 3000; ++seed) {
+        INFO("seed " << seed);
+        Random random(seed);
+        std::string text = valid;
+        for (uint64_t i = random.below(6); i > 0; --i) {
+            const size_t at = random.below(text.size());
+            if (random.below(3) == 0)
+                text.erase(at, 1);
+            else
+                text[at] = random.below(2) == 0 ? "[]=,:;#.\n0-"[random.below(11)] : static_cast<char>(random.next());
+        }
+        Findings findings;
+        const Settings settings = parseSettings("t.ini", text, table, findings);
+        if (!findings.empty())
+            continue;
+        CHECK_FALSE(settings.text("a.name").empty());
+        CHECK((settings.number("a.count") >= 1 && settings.number("a.count") <= 10));
+        CHECK(settings.duration("a.wait-ms") < settings.duration("a.limit-ms"));
+        CHECK(settings.endpoints("b.peers").size() <= 2);
+    }
+}
+
 TEST_CASE("the command line gives the documented exit codes", "[settings]")
 {
     const std::string good = "settings_test_good.ini";
--- a/libs/stream/connection.cc
+++ b/libs/stream/connection.cc
@@ -376,7 +376,7 @@
 void Connection::tick()
 {
     const auto now = std::chrono::steady_clock::now();
-    if (now - m_lastReceived >= m_shared->limits.silenceLimit) {
+    if (now - m_lastReceived >= m_shared->limits.silenceLimit && !hasUnreadData()) {
         ++m_shared->counters.silentPeers;
         return fail(absl::UnavailableError("the peer is silent"));
     }
@@ -392,6 +392,13 @@
         waitForTick();
 }
 
+// After this process itself was halted, the timer may come before bytes that have arrived long ago.
+bool Connection::hasUnreadData() const
+{
+    boost::system::error_code error;
+    return nghttp2_session_want_read(m_session) != 0 && m_socket.available(error) > 0 && !error;
+}
+
 // O(open streams) once in each interval; their number is bounded by maxStreams. A client bounds each request itself.
 bool Connection::hasStalledBody(std::chrono::steady_clock::time_point now) const
 {
--- a/libs/stream/connection.h
+++ b/libs/stream/connection.h
@@ -118,6 +118,7 @@
     void closeSocket();
     void dispatch();
     void releaseStream(int32_t stream);
+    bool hasUnreadData() const;
     bool hasStalledBody(std::chrono::steady_clock::time_point now) const;
 
     Tcp::socket m_socket;
--- a/libs/stream/stream_test.cc
+++ b/libs/stream/stream_test.cc
@@ -1,5 +1,7 @@
 #include "stream/stream_test_peers.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <thread>
 #include <unistd.h>
 
 using namespace cicadaward;
@@ -220,6 +222,27 @@
     CHECK(polled.result->ok());
 }
 
+TEST_CASE("a process that was halted itself does not take its peers for silent", "[stream]")
+{
+    StreamLimits limits;
+    limits.pingInterval = 1ms;
+    limits.silenceLimit = 5ms;
+    boost::asio::io_context context;
+    StreamServer server(context, anyPort, echo, { limits, 10, {} });
+    REQUIRE(server.listen().ok());
+    Tcp::socket peer(context);
+    peer.connect(server.endpoint());
+    REQUIRE(runUntil(context, [&] { return server.connections() == 1; }));
+    // Both timers have expired when the context runs again. The earlier one writes, so that the bytes arrive after the
+    // context has looked for data and before the server looks for silence.
+    boost::asio::steady_timer earlier(context, std::chrono::steady_clock::now() - 1h);
+    earlier.async_wait([&](boost::system::error_code) { boost::asio::write(peer, boost::asio::buffer(preface)); });
+    std::this_thread::sleep_for(20ms);
+    REQUIRE(
+        runUntil(context, [&] { return server.counters().bytesReceived > 0 || server.counters().silentPeers > 0; }));
+    CHECK(server.counters().silentPeers == 0);
+}
+
 TEST_CASE("client and server may end inside their own callbacks", "[stream]")
 {
     boost::asio::io_context context;
