Announce an agent only once its target's state is known

Cause: a restarted agent announced its target as down before the first health answer, so owners and the new process reset its flows. Change: the target's state is unknown until the first proof, and the agent stays silent until then. Conclusion: silence is better than a guess about the target.

--- a/daemons/agent_packets.cc
+++ b/daemons/agent_packets.cc
@@ -166,6 +166,8 @@
 void AgentPackets::handleInput(const PacketsTarget& input)
 {
     switch (input.condition.state) {
+    case TargetState::Unknown:
+        return;
     case TargetState::Up:
         m_targetEvent = flow::TargetUp { input.condition.incarnation };
         break;
--- a/daemons/agent_requests_duty.cc
+++ b/daemons/agent_requests_duty.cc
@@ -351,9 +351,11 @@
 void AgentRequestsDuty::conditionChanged()
 {
     const TargetCondition& condition = m_monitor.condition();
+    if (condition.state == TargetState::Unknown)
+        return;
     static const EventId events[] = { EventId::TargetDown, EventId::TargetUp, EventId::TargetDraining };
     m_base.log->write(
-        events[static_cast<size_t>(condition.state)], { { "incarnation", condition.incarnation.value() } });
+        events[static_cast<size_t>(condition.state) - 1], { { "incarnation", condition.incarnation.value() } });
     m_toPackets(PacketsTarget { condition });
     m_toControl(ControlTarget { condition });
     handle(request::TargetStateChanged { condition.incarnation, condition.state != TargetState::Down });
--- a/libs/admission/target_monitor.cc
+++ b/libs/admission/target_monitor.cc
@@ -7,6 +7,8 @@
 TargetMonitor::TargetMonitor(const Clock& clock, TargetMonitorSettings settings)
     : m_clock(clock)
     , m_settings(settings)
+    , m_lastHealth(clock.now())
+    , m_lastTraffic(clock.now())
 {
 }
 
--- a/libs/admission/target_monitor.h
+++ b/libs/admission/target_monitor.h
@@ -15,13 +15,14 @@
 namespace cicadaward {
 
 enum class TargetState : uint8_t {
-    Down, // also before the first answer
+    Unknown, // before the first proof; an agent that restarts must not report its target as down
+    Down,
     Up,
     Draining,
 };
 
 struct TargetCondition {
-    TargetState state = TargetState::Down;
+    TargetState state = TargetState::Unknown;
     Incarnation incarnation; // the last one that was seen
 
     friend bool operator==(const TargetCondition& a, const TargetCondition& b)
--- a/libs/admission/target_monitor_test.cc
+++ b/libs/admission/target_monitor_test.cc
@@ -8,7 +8,7 @@
 {
     ManualClock clock;
     TargetMonitor monitor(clock, {});
-    CHECK(monitor.condition().state == TargetState::Down);
+    CHECK(monitor.condition().state == TargetState::Unknown);
     CHECK(monitor.healthAnswered(Incarnation(1), false));
     CHECK_FALSE(monitor.healthRefused());
     CHECK_FALSE(monitor.healthAnswered(Incarnation(1), false));
@@ -43,3 +43,14 @@
     CHECK(monitor.condition().state == TargetState::Draining);
     CHECK(monitor.healthAnswered(Incarnation(2), false));
 }
+
+TEST_CASE("the state is unknown until the first proof", "[admission]")
+{
+    // Guards against an agent that restarts and reports its target as down: its flows would be reset.
+    ManualClock clock;
+    TargetMonitor monitor(clock, {});
+    CHECK_FALSE(monitor.healthRefused());
+    CHECK(monitor.condition().state == TargetState::Unknown);
+    CHECK(monitor.healthRefused());
+    CHECK(monitor.condition().state == TargetState::Down);
+}
--- a/tools/experiment.h
+++ b/tools/experiment.h
@@ -92,8 +92,8 @@
     std::map<std::string, nlohmann::json> m_stats; // by target, last known
     std::map<std::string, double> m_outAt; // data centre -> ms since 1970 of acceptance
     double m_secondsToSilence = 0;
-    uint64_t m_raceWinners = 0;
-    uint64_t m_races = 0;
+    uint64_t m_lostRaces = 0; // no operator won
+    uint64_t m_doubleWins = 0; // both won
     std::string m_leader;
 };
 
