--- a/libs/raft/raft_schedule_test.cc
+++ b/libs/raft/raft_schedule_test.cc
@@ -19,13 +19,13 @@
 
 using std::chrono::milliseconds;
 
-RaftOptions smallOptions()
+RaftOptions smallOptions(size_t messageEntries)
 {
     RaftOptions options;
     options.electionTimeout = milliseconds(200);
     options.heartbeatInterval = milliseconds(40);
     options.messageBytes = 64; // a snapshot takes several chunks
-    options.messageEntries = 3;
+    options.messageEntries = messageEntries;
     options.inflightMessages = 3;
     options.uncommittedEntries = 12;
     options.retainedEntries = 3;
@@ -72,6 +72,9 @@
         const double rates[] = { 0.003, 0.01, 0.04, 0.1 };
         m_faultRate = rates[m_random.below(4)];
         m_longestTick = 5 + m_random.below(60);
+        m_messageEntries = 1 + m_random.below(3);
+        m_lossRate = m_random.below(2) == 0 ? 0.02 : 0.3 * m_random.unit();
+        m_leaderCrashRate = m_random.below(2) == 0 ? 0 : 0.03 * m_random.unit();
         std::vector<InstanceId> voters;
         for (size_t i = 0; i < size; ++i)
             voters.push_back(addInstance().id);
@@ -119,7 +122,8 @@
         instance.state = {};
         instance.paused = false;
         StoreContents contents = openStore(instance);
-        instance.raft = std::make_unique<Raft>(smallOptions(), instance.clock, instance.random, std::move(contents));
+        instance.raft = std::make_unique<Raft>(
+            smallOptions(m_messageEntries), instance.clock, instance.random, std::move(contents));
     }
 
     void crash(Instance& instance)
@@ -128,7 +132,9 @@
         instance.raft.reset();
         instance.store.reset();
         instance.disk.clear();
-        instance.files.crash();
+        // Otherwise only the process ends, and the system's cache keeps what was written.
+        if (m_random.below(3) > 0)
+            instance.files.crash();
     }
 
     Instance& any() { return *m_instances[m_random.below(m_instances.size())]; }
@@ -157,6 +163,7 @@
             return;
         for (RaftAction& action : instance.raft->handle(std::move(event)))
             std::visit([&](auto& a) { on(instance, a); }, action);
+        m_safety.checkApplied(instance.state, instance.raft->log());
     }
 
     void on(Instance&, SendMessage& action)
@@ -208,6 +215,8 @@
             m_network.pop_back();
         }
         Instance* to = find(message.to);
+        if (m_random.unit() < m_lossRate)
+            return;
         if (!to || !to->raft || to->paused || m_cuts.count({ message.from, message.to }) > 0)
             return;
         RaftMessage decoded;
@@ -298,6 +307,9 @@
     {
         if (m_wipeWanted)
             wipe();
+        // Leaders that fail early leave the partly replicated logs that are hardest to agree on.
+        if (Instance* current = leader(); current && m_random.unit() < m_leaderCrashRate)
+            crash(*current);
         if (m_random.unit() < m_faultRate)
             fault(any());
         else
@@ -396,6 +408,7 @@
     // Guards against a group that stays safe by never deciding anything again.
     void heal()
     {
+        m_lossRate = 0;
         m_cuts.clear();
         for (auto& instance : m_instances) {
             instance->files.faults() = {};
@@ -441,6 +454,9 @@
     Coverage& m_coverage;
     double m_faultRate = 0;
     uint64_t m_longestTick = 0; // in ms
+    size_t m_messageEntries = 1;
+    double m_lossRate = 0;
+    double m_leaderCrashRate = 0; // for each step
     std::vector<std::unique_ptr<Instance>> m_instances;
     std::vector<RaftMessage> m_network;
     std::set<std::pair<InstanceId, InstanceId>> m_cuts; // one way
--- a/libs/raft/safety_checker.h
+++ b/libs/raft/safety_checker.h
@@ -60,6 +60,15 @@
         }
     }
 
+    // After every event: what was applied stays in the log or in the snapshot before it.
+    void checkApplied(const AppliedState& state, const detail::RaftLog& log) const
+    {
+        require(log.lastIndex() >= state.index, "applied entries are cut from the log");
+        std::optional<Term> term = log.termAt(state.index);
+        require(state.index == 0 || state.index < log.baseIndex() || term == m_committed[state.index - 1].term,
+            "an applied entry is replaced");
+    }
+
     void install(AppliedState& state, const LogSnapshot& snapshot)
     {
         require(snapshot.index > state.index && snapshot.index <= committed(), "snapshot of uncommitted entries");
--- a/libs/store/file_system.h
+++ b/libs/store/file_system.h
@@ -37,7 +37,6 @@
     virtual absl::StatusOr<std::string> read(const std::string& path) = 0;
     // Creates the file if it is missing and leaves an existing one as it is.
     virtual absl::StatusOr<std::unique_ptr<AppendFile>> openForAppend(const std::string& path) = 0;
-    virtual absl::Status truncate(const std::string& path, uint64_t size) = 0;
     virtual absl::Status rename(const std::string& from, const std::string& to) = 0;
     virtual absl::Status remove(const std::string& path) = 0;
     // Makes creations, renames and removals in the directory durable.
--- a/libs/store/memory_file_system.cc
+++ b/libs/store/memory_file_system.cc
@@ -77,20 +77,17 @@
         return status;
     if (m_random.unit() < m_faults.syncFailure) {
         tear(node, false);
+        node.syncFailed = true;
         return absl::UnavailableError("fsync failed");
     }
-    node.durable = node.current;
+    if (!node.syncFailed)
+        node.durable = node.current;
     return absl::OkStatus();
 }
 
 // Writes back some of the unsynced sectors; the others keep their old bytes or, behind the old end, read as zero.
 void MemoryFileSystem::tear(Node& node, bool isLast)
 {
-    if (node.current.size() < node.durable.size()) {
-        if (m_random.below(2) == 0)
-            node.durable = node.current;
-        return;
-    }
     size_t size = node.durable.size() + m_random.below(node.current.size() - node.durable.size() + 1);
     // Only the state after a crash may end inside a sector: until then, a later write-back rewrites the whole sector.
     if (!isLast)
@@ -116,6 +113,7 @@
         if (node->current != node->durable)
             tear(*node, true);
         node->current = node->durable;
+        node->syncFailed = false;
     }
     m_names = m_durableNames;
     m_locks.clear();
@@ -168,17 +166,6 @@
     return std::make_unique<MemoryAppendFile>(*this, found->second);
 }
 
-absl::Status MemoryFileSystem::truncate(const std::string& path, uint64_t size)
-{
-    if (absl::Status status = beginChange(path); !status.ok())
-        return status;
-    auto found = m_names.find(path);
-    if (found == m_names.end())
-        return absl::NotFoundError(path);
-    found->second->current.resize(size);
-    return absl::OkStatus();
-}
-
 absl::Status MemoryFileSystem::rename(const std::string& from, const std::string& to)
 {
     if (absl::Status status = beginChange(from); !status.ok())
--- a/libs/store/memory_file_system.h
+++ b/libs/store/memory_file_system.h
@@ -46,7 +46,6 @@
     absl::StatusOr<std::vector<std::string>> list(const std::string& directory) override;
     absl::StatusOr<std::string> read(const std::string& path) override;
     absl::StatusOr<std::unique_ptr<AppendFile>> openForAppend(const std::string& path) override;
-    absl::Status truncate(const std::string& path, uint64_t size) override;
     absl::Status rename(const std::string& from, const std::string& to) override;
     absl::Status remove(const std::string& path) override;
     absl::Status syncDirectory(const std::string& path) override;
@@ -56,6 +55,7 @@
     struct Node {
         std::string durable;
         std::string current;
+        bool syncFailed = false; // the system reports the error once; later syncs succeed but write nothing
     };
     using Names = std::map<std::string, std::shared_ptr<Node>>;
     struct MemoryAppendFile;
--- a/libs/store/posix_file_system.cc
+++ b/libs/store/posix_file_system.cc
@@ -160,13 +160,6 @@
     return std::make_unique<PosixAppendFile>(std::move(descriptor), path);
 }
 
-absl::Status PosixFileSystem::truncate(const std::string& path, uint64_t size)
-{
-    if (::truncate(path.c_str(), static_cast<off_t>(size)) != 0)
-        return failure("truncate", path, errno);
-    return absl::OkStatus();
-}
-
 absl::Status PosixFileSystem::rename(const std::string& from, const std::string& to)
 {
     if (::rename(from.c_str(), to.c_str()) != 0)
--- a/libs/store/posix_file_system.h
+++ b/libs/store/posix_file_system.h
@@ -11,7 +11,6 @@
     absl::StatusOr<std::vector<std::string>> list(const std::string& directory) override;
     absl::StatusOr<std::string> read(const std::string& path) override;
     absl::StatusOr<std::unique_ptr<AppendFile>> openForAppend(const std::string& path) override;
-    absl::Status truncate(const std::string& path, uint64_t size) override;
     absl::Status rename(const std::string& from, const std::string& to) override;
     absl::Status remove(const std::string& path) override;
     absl::Status syncDirectory(const std::string& path) override;
--- a/libs/store/store.cc
+++ b/libs/store/store.cc
@@ -84,22 +84,13 @@
     if (absl::Status status = loadSegments(); !status.ok())
         return status;
     m_contents.instance = m_instance;
-    absl::StatusOr<bool> changed = matchSnapshot();
-    if (!changed.ok())
-        return changed.status();
-    if (*changed) {
-        // Later frames follow the shortened log, so the files must hold it too.
-        if (absl::Status status = startSegment({ m_contents.state, {}, m_contents.entries }, true); !status.ok())
-            return status;
-    }
-    if (absl::Status status = removeObsolete(); !status.ok())
+    if (absl::Status status = matchSnapshot(); !status.ok())
         return status;
-    absl::StatusOr<std::unique_ptr<AppendFile>> file = m_files.openForAppend(path(m_segmentNames.back()));
-    if (!file.ok())
-        return file.status();
-    m_segment = std::move(*file);
-    // What a crash left in the file may be in the system's cache only; it counts as stored from here on.
-    if (absl::Status status = m_segment->sync(); !status.ok())
+    // The log is always written anew: the old files may be in the system's cache only (after a failed fsync the kernel
+    // reports no error a second time), and a torn tail or a rest of an older log goes with them.
+    if (absl::Status status = startSegment({ m_contents.state, {}, m_contents.entries }, true); !status.ok())
+        return status;
+    if (absl::Status status = removeObsolete(); !status.ok())
         return status;
     return m_files.syncDirectory(m_folder);
 }
@@ -145,8 +136,6 @@
         scans.push_back(std::move(*scan));
     }
     m_nextSequence = scans.back().header.firstSequence;
-    m_header = scans.front().header;
-    m_segmentSize = scans.front().validSize;
     for (; !scans.empty(); scans.pop_back(), ++first) {
         const std::string& name = m_segmentNames[first];
         if (scans.back().header.firstSequence != m_nextSequence)
@@ -168,22 +157,7 @@
     absl::StatusOr<std::string> bytes = m_files.read(path(name));
     if (!bytes.ok())
         return bytes.status();
-    bool isLast = name == m_segmentNames.back();
-    absl::StatusOr<detail::FileScan> scan = detail::scanFile(path(name), *bytes, detail::FileKind::Segment, isLast);
-    if (scan.ok() && scan->validSize < bytes->size()) {
-        if (absl::Status status = cutTail(name, scan->validSize); !status.ok())
-            return status;
-    }
-    return scan;
-}
-
-// Synced at once: the segment may soon not be the last one, and then a torn tail counts as damage.
-absl::Status Store::cutTail(const std::string& name, uint64_t size)
-{
-    if (absl::Status status = m_files.truncate(path(name), size); !status.ok())
-        return status;
-    absl::StatusOr<std::unique_ptr<AppendFile>> file = m_files.openForAppend(path(name));
-    return file.ok() ? (*file)->sync() : file.status();
+    return detail::scanFile(path(name), *bytes, detail::FileKind::Segment, name == m_segmentNames.back());
 }
 
 absl::Status Store::applyFrame(const std::string& name, const std::string& payload)
@@ -207,25 +181,24 @@
 }
 
 // A crash between the rename of a snapshot and the start of the segment that goes with it leaves an older log. Its rest
-// is kept only if it agrees with the snapshot, as for a snapshot that arrives from the leader. Returns whether the log
-// has changed.
-absl::StatusOr<bool> Store::matchSnapshot()
+// is kept only if it agrees with the snapshot, as for a snapshot that arrives from the leader.
+absl::Status Store::matchSnapshot()
 {
     const LogSnapshot& snapshot = m_contents.snapshot;
     std::vector<LogEntry>& log = m_contents.entries;
     if (log.empty())
-        return false;
+        return absl::OkStatus();
     if (log.front().index > snapshot.index + 1)
         return damage(
             path(m_segmentNames.back()), "entries before " + std::to_string(log.front().index) + " are missing");
     if (log.front().index == snapshot.index + 1)
-        return false;
+        return absl::OkStatus();
     size_t position = snapshot.index - log.front().index;
     if (position >= log.size() || log[position].term != snapshot.term)
         log.clear();
     else
         log.erase(log.begin(), log.begin() + static_cast<std::ptrdiff_t>(position) + 1);
-    return true;
+    return absl::OkStatus();
 }
 
 // The oldest go first, so that an interruption never leaves a hole.
--- a/libs/store/store.h
+++ b/libs/store/store.h
@@ -31,9 +31,9 @@
 
 class Store {
 public:
-    // Creates the folder if it is missing, takes its lock, removes leftovers of an interrupted write, cuts off a torn
-    // tail and reads everything. Damage is DataLoss with file and offset, a taken lock FailedPrecondition.
-    // `random` draws the instance id of a new folder, so its seed must come from the system's entropy.
+    // Creates the folder if it is missing, takes its lock, reads everything, cuts off a torn tail, and writes the log
+    // to a new segment. Damage is DataLoss with file and offset, a taken lock FailedPrecondition. `random` draws the
+    // instance id of a new folder, so its seed must come from the system's entropy.
     static absl::StatusOr<std::unique_ptr<Store>> open(
         FileSystem& files, std::string folder, Random& random, StoreOptions options = {});
 
@@ -56,9 +56,8 @@
     absl::Status loadSnapshot(const std::vector<std::string>& names);
     absl::Status loadSegments();
     absl::StatusOr<detail::FileScan> readSegment(const std::string& name);
-    absl::Status cutTail(const std::string& name, uint64_t size);
     absl::Status applyFrame(const std::string& name, const std::string& payload);
-    absl::StatusOr<bool> matchSnapshot();
+    absl::Status matchSnapshot();
     absl::Status removeObsolete();
     absl::Status checkBatch(const StoreBatch& batch) const;
     absl::Status appendBatch(const StoreBatch& batch);
--- a/libs/store/store_test.cc
+++ b/libs/store/store_test.cc
@@ -228,6 +228,26 @@
     }
 }
 
+TEST_CASE("What a store finds after a failed fsync survives a later crash")
+{
+    // The system's cache still returns the bytes that never reached the device, and the next fsync reports no error.
+    for (uint64_t seed = 1; seed <= 50; ++seed) {
+        INFO("seed " << seed);
+        MemoryFileSystem files(seed);
+        Random random(seed);
+        {
+            auto store = Store::open(files, "data", random);
+            REQUIRE(store.ok());
+            files.faults().syncFailure = 1;
+            CHECK(!(*store)->write({ {}, {}, { makeEntry(1, 1, 2000) } }).ok());
+            files.faults() = {};
+        }
+        size_t found = Store::open(files, "data", random).value()->takeContents().entries.size();
+        files.crash();
+        REQUIRE(Store::open(files, "data", random).value()->takeContents().entries.size() == found);
+    }
+}
+
 TEST_CASE("A batch that is too large or incomplete is refused and changes nothing")
 {
     MemoryFileSystem files(4);
