Restart voters in the schedules

Cause: a planted fault (the vote is not persisted) was not found in 40,000 schedules, because a voter seldom restarted between two vote requests. Change: half of the schedules restart voters right after a vote; schedule_instance.h takes the fakes out of the test file.

--- a/libs/raft/raft_schedule_test.cc
+++ b/libs/raft/raft_schedule_test.cc
@@ -5,9 +5,7 @@
 #include "raft/raft.h"
 
 #include "raft/codec.h"
-#include "raft/safety_checker.h"
-#include "store/memory_file_system.h"
-#include "store/store.h"
+#include "raft/schedule_instance.h"
 
 #include <catch2/catch.hpp>
 #include <cstdio>
@@ -19,50 +17,6 @@
 
 using std::chrono::milliseconds;
 
-RaftOptions smallOptions(size_t messageEntries)
-{
-    RaftOptions options;
-    options.electionTimeout = milliseconds(200);
-    options.heartbeatInterval = milliseconds(40);
-    options.messageBytes = 64; // a snapshot takes several chunks
-    options.messageEntries = messageEntries;
-    options.inflightMessages = 3;
-    options.uncommittedEntries = 12;
-    options.retainedEntries = 3;
-    options.heldMessages = 16;
-    return options;
-}
-
-struct Instance {
-    explicit Instance(uint64_t seed)
-        : files(seed)
-        , random(seed ^ 0x5eed)
-    {
-    }
-    InstanceId id;
-    MemoryFileSystem files;
-    Random random;
-    ManualClock clock;
-    double rate = 1; // of the clock
-    std::unique_ptr<Store> store;
-    std::unique_ptr<Raft> raft; // none while crashed
-    std::deque<Persist> disk; // not yet written
-    bool paused = false;
-    bool wiped = false;
-    AppliedState state;
-};
-
-// What the schedules reached, to guard against ones that do nothing.
-struct Coverage {
-    unsigned long long leaders = 0;
-    unsigned long long committed = 0;
-    unsigned long long snapshotsInstalled = 0;
-    unsigned long long crashes = 0;
-    unsigned long long repairs = 0;
-    unsigned long long reads = 0;
-    unsigned long long transfers = 0;
-};
-
 class Schedule {
 public:
     Schedule(uint64_t seed, size_t size, Coverage& coverage)
@@ -72,6 +26,7 @@
         const double rates[] = { 0.003, 0.01, 0.04, 0.1 };
         m_faultRate = rates[m_random.below(4)];
         m_longestTick = 5 + m_random.below(60);
+        m_voterRestartRate = m_random.below(2) == 0 ? 0 : 0.5;
         m_messageEntries = 1 + m_random.below(3);
         m_lossRate = m_random.below(2) == 0 ? 0.02 : 0.3 * m_random.unit();
         m_leaderCrashRate = m_random.below(2) == 0 ? 0 : 0.03 * m_random.unit();
@@ -121,6 +76,7 @@
     {
         instance.state = {};
         instance.paused = false;
+        instance.files.faults().syncFailure = 0;
         StoreContents contents = openStore(instance);
         instance.raft = std::make_unique<Raft>(
             smallOptions(m_messageEntries), instance.clock, instance.random, std::move(contents));
@@ -166,8 +122,11 @@
         m_safety.checkApplied(instance.state, instance.raft->log());
     }
 
-    void on(Instance&, SendMessage& action)
+    void on(Instance& instance, SendMessage& action)
     {
+        const auto* vote = std::get_if<VoteReply>(&action.message.body);
+        if (vote && vote->granted && !vote->preVote && m_random.unit() < m_voterRestartRate)
+            m_voted = &instance;
         if (std::holds_alternative<TimeoutNow>(action.message.body))
             ++m_coverage.transfers;
         if (m_network.size() < 300)
@@ -307,6 +266,14 @@
     {
         if (m_wipeWanted)
             wipe();
+        // A voter that restarts while another candidate of the same term still asks must remember its vote.
+        if (m_voted) {
+            if (m_voted->raft) {
+                crash(*m_voted);
+                start(*m_voted);
+            }
+            m_voted = nullptr;
+        }
         // Leaders that fail early leave the partly replicated logs that are hardest to agree on.
         if (Instance* current = leader(); current && m_random.unit() < m_leaderCrashRate)
             crash(*current);
@@ -334,7 +301,6 @@
         } else if (choice < 97) {
             administer();
         } else if (!instance.raft && !instance.wiped) {
-            instance.files.faults().syncFailure = 0;
             start(instance);
         } else {
             instance.paused = false;
@@ -411,7 +377,6 @@
         m_lossRate = 0;
         m_cuts.clear();
         for (auto& instance : m_instances) {
-            instance->files.faults() = {};
             if (!instance->wiped) {
                 crash(*instance);
                 start(*instance);
@@ -457,6 +422,8 @@
     size_t m_messageEntries = 1;
     double m_lossRate = 0;
     double m_leaderCrashRate = 0; // for each step
+    double m_voterRestartRate = 0; // for each vote
+    Instance* m_voted = nullptr; // is to restart
     std::vector<std::unique_ptr<Instance>> m_instances;
     std::vector<RaftMessage> m_network;
     std::set<std::pair<InstanceId, InstanceId>> m_cuts; // one way
--- /dev/null
+++ b/libs/raft/schedule_instance.h
@@ -0,0 +1,60 @@
+// Parts of the schedule test: an instance with fakes for its disk and clock, and counters.
+#pragma once
+
+#include "raft/raft.h"
+#include "raft/safety_checker.h"
+#include "store/memory_file_system.h"
+#include "store/store.h"
+
+#include <deque>
+#include <memory>
+
+namespace cicadaward {
+
+// Bounds that are reached within a few entries.
+inline RaftOptions smallOptions(size_t messageEntries)
+{
+    RaftOptions options;
+    options.electionTimeout = std::chrono::milliseconds(200);
+    options.heartbeatInterval = std::chrono::milliseconds(40);
+    options.messageBytes = 64; // a snapshot takes several chunks
+    options.messageEntries = messageEntries;
+    options.inflightMessages = 3;
+    options.uncommittedEntries = 12;
+    options.retainedEntries = 3;
+    options.heldMessages = 16;
+    return options;
+}
+
+// A machine with its disk and its clock.
+struct Instance {
+    explicit Instance(uint64_t seed)
+        : files(seed)
+        , random(seed ^ 0x5eed)
+    {
+    }
+    InstanceId id;
+    MemoryFileSystem files;
+    Random random;
+    ManualClock clock;
+    double rate = 1; // of the clock
+    std::unique_ptr<Store> store;
+    std::unique_ptr<Raft> raft; // none while crashed
+    std::deque<Persist> disk; // not yet written
+    bool paused = false;
+    bool wiped = false;
+    AppliedState state;
+};
+
+// What the schedules reached, to guard against ones that do nothing.
+struct Coverage {
+    unsigned long long leaders = 0;
+    unsigned long long committed = 0;
+    unsigned long long snapshotsInstalled = 0;
+    unsigned long long crashes = 0;
+    unsigned long long repairs = 0;
+    unsigned long long reads = 0;
+    unsigned long long transfers = 0;
+};
+
+} // namespace cicadaward
