--- a/libs/request/agent_requests.h
+++ b/libs/request/agent_requests.h
@@ -134,6 +134,7 @@
     RetryDenied, // by the budget
     AnswerDropped, // stored answer given up because of the byte bound
     AmnesiaStarted, // buckets whose records may have been lost
+    DirectoryBehind, // a peer has a newer directory and waits until this agent has it: pull it
 };
 struct Count {
     RequestCounter counter;
--- a/libs/request/bucket_sync.cc
+++ b/libs/request/bucket_sync.cc
@@ -207,10 +207,10 @@
 
 void BucketSync::on(MemberId from, const SyncRequest& message)
 {
-    // Without contact this agent may have been absent from directories that it has not seen, while the others kept
-    // records without it. It answers once it has the directory and counts itself as lost if versions are missing.
-    if ((m_view.wasFenced || m_view.isFenced()) && m_view.version() < message.version)
-        return m_out.count(RequestCounter::StaleMessage);
+    // The reply vouches for all losses up to the version of the question. Every member that has contact has a directory
+    // that is at most a lease old, and a member that dies stays in the directory for a lease, so nobody misses a loss.
+    if (m_view.version() < message.version)
+        return m_out.count(RequestCounter::DirectoryBehind);
     for (uint16_t bucket : message.buckets) {
         if (bucket >= m_buckets.size() || m_buckets[bucket].promise > message.version) {
             m_out.count(RequestCounter::StaleMessage);
--- a/libs/request/bucket_sync.h
+++ b/libs/request/bucket_sync.h
@@ -14,8 +14,9 @@
 // third one). Records are therefore complete while fewer than two members have lost theirs within the record lifetime.
 // A member counts as lost when it left the directory, restarted, or missed directory versions without control contact;
 // members tell each other about the losses they know. With two or more, the buckets get an amnesia time: an id that
-// could have been seen before that time is `unknown`. The rule counts members and not their buckets, and it ignores
-// copies that were repaired in between, so it errs towards `unknown`.
+// could have been seen before that time is `unknown`. A member answers only once its directory is at least as new as
+// the question, so that it vouches for all losses until then. The rule counts members and not their buckets, and it
+// ignores copies that were repaired in between, so it errs towards `unknown`.
 #pragma once
 
 #include "request/record_store.h"
--- a/libs/request/fake_system.h
+++ b/libs/request/fake_system.h
@@ -27,6 +27,8 @@
     Duration lease = std::chrono::milliseconds(300);
     Duration recordLifetime = std::chrono::seconds(60);
     size_t maxQueued = 64;
+    bool largeAnswers = true; // a third of the answers has 20 kB
+    bool targetShares = false; // a target with more than `slots` attempts serves each of them more slowly
     double retryShare = 0.1;
 };
 
@@ -82,6 +84,12 @@
         const Member* backup = m_table->backup(bucketOf(hashBytes(key.data(), key.size(), 1), m_table->bucketCount()));
         return backup ? backup->id : MemberId();
     }
+    bool isUp(MemberId id) const { return m_nodes.at(id).agent != nullptr; }
+    void setSlots(uint32_t slots)
+    {
+        for (auto& [id, node] : m_nodes)
+            handle(node, SlotsChanged { slots });
+    }
     AgentRequests& agent(MemberId id) { return *m_nodes.at(id).agent; }
     int runs(const std::string& key) const
     {
@@ -379,6 +387,8 @@
             fault(m_result.duplicateRuns, "duplicate run of " + key);
         node.attempts[attempt] = key;
         Duration time = std::chrono::duration_cast<Duration>(m_options.serviceTime * (0.5 + m_random.unit()));
+        if (m_options.targetShares && node.attempts.size() > m_options.slots)
+            time = time * static_cast<int64_t>(node.attempts.size()) / m_options.slots;
         if (m_random.unit() < m_options.targetBreak) {
             at(time, [this, id, attempt, starts] {
                 deliver(id, starts, TargetFailed { attempt, TargetFailure::Broken });
@@ -387,7 +397,7 @@
         }
         TargetAnswered answered { attempt, { 200, {}, expectedBody(key) }, 0 };
         answered.declaredLength = answered.answer.body.size();
-        if (m_random.unit() < 0.02)
+        if (m_options.targetBreak > 0 && m_random.unit() < 0.02)
             answered.answer.body.resize(answered.answer.body.size() / 2); // connection broke in the middle
         at(time, [this, id, starts, answered] { deliver(id, starts, answered); });
         if (m_random.unit() < 0.05) // a late second delivery
@@ -413,13 +423,16 @@
     void deliver(MemberId id, int starts, RequestEvent event)
     {
         Node& node = m_nodes.at(id);
+        if (const auto* answered = std::get_if<TargetAnswered>(&event))
+            node.attempts.erase(answered->attempt);
         if (node.agent && node.starts == starts)
             handle(node, std::move(event));
     }
 
     std::string expectedBody(const std::string& key) const
     {
-        return "answer to " + key + std::string(hashString(key) % 3 == 0 ? 20000 : 10, 'a');
+        bool large = m_options.largeAnswers && hashString(key) % 3 == 0;
+        return "answer to " + key + std::string(large ? 20000 : 10, 'a');
     }
     void check(const Open& open, const Reply& reply)
     {
