--- a/libs/request/bucket_sync.cc
+++ b/libs/request/bucket_sync.cc
@@ -207,6 +207,10 @@
 
 void BucketSync::on(MemberId from, const SyncRequest& message)
 {
+    // The reply vouches for all losses up to the version of the question. Every member that has contact has a directory
+    // that is at most a lease old, and a member that dies stays in the directory for a lease, so nobody misses a loss.
+    if (m_view.version() < message.version)
+        return m_out.count(RequestCounter::DirectoryBehind);
     for (uint16_t bucket : message.buckets) {
         if (bucket >= m_buckets.size() || m_buckets[bucket].promise > message.version) {
             m_out.count(RequestCounter::StaleMessage);
