--- a/libs/flow/actions.h
+++ b/libs/flow/actions.h
@@ -44,6 +44,7 @@
 struct DeliverPacket {
     PortMode mode = PortMode::Flow;
     bool refuse = false;
+    bool offered = false; // after a restart: the target may not have the connection, and its reset is held back
     Bytes packet;
 };
 
@@ -102,6 +103,7 @@
     DroppedExpired, // packets that waited too long for their bucket
     DroppedNoOwner, // no member owns the bucket
     DroppedIsolated, // packets refused under the isolation rule
+    DroppedUnknown, // segments of unknown flows that may not be reset yet
     DroppedStale, // last-hop check failed and nobody else can take the packet
     TableFull, // flows refused because the flow table is full
     CopiesDropped, // backup copies that did not fit
@@ -116,7 +118,7 @@
     RefusedVersion, // admissions refused because the bucket has been promised to a newer owner
     RefusedTarget, // admissions refused because the target is down, draining or has another incarnation
 };
-constexpr size_t flowCounterCount = 29;
+constexpr size_t flowCounterCount = 30;
 const char* flowCounterName(FlowCounter counter);
 
 class FlowCounters {
--- a/libs/flow/agent_flows.cc
+++ b/libs/flow/agent_flows.cc
@@ -61,7 +61,9 @@
         void syncRequest(const TunnelHeader& header, const BucketSyncRequest& request);
         void refused(const TunnelHeader& header, const FlowRefused& message);
         void loadReport(MemberId sender, const LoadReport& message);
+        void holderSyncRequest(MemberId sender, const HolderSyncRequest& message);
         void checkLease();
+        void renewLease();
         void sweep();
 
         AgentState m_state;
@@ -82,14 +84,23 @@
 
     void AgentMachine::on(const ControlContact& event)
     {
-        if (m_state.hasContact && event.requestSentAt <= m_state.lastContact)
+        if (event.requestSentAt > m_state.pendingContact) {
+            m_state.pendingContact = event.requestSentAt;
+            m_state.pendingVersion = event.latest;
+        }
+        m_state.wantDirectory(event.latest);
+        renewLease();
+    }
+
+    void AgentMachine::renewLease()
+    {
+        if (m_state.pendingVersion > m_state.version() || m_state.pendingContact == Time())
             return;
         m_state.hasContact = true;
-        m_state.lastContact = event.requestSentAt;
-        m_state.wantDirectory(event.latest);
+        m_state.lastContact = std::max(m_state.lastContact, m_state.pendingContact);
         if (!m_leased && m_state.hasLease()) {
             m_leased = true;
-            m_owner.leaseRenewed(event.latest);
+            m_owner.leaseRenewed();
         }
     }
 
@@ -97,15 +108,19 @@
     {
         if (!event.directory || (m_state.directory && event.directory->version <= m_state.version()))
             return;
+        DirectoryVersion before = m_state.version();
         std::vector<MemberId> joined = m_state.install(event.directory);
+        DirectoryVersion version = m_state.version();
+        bool next = version.term == before.term && version.sequence == before.sequence + 1;
         m_holder.directoryChanged();
-        m_owner.directoryChanged(joined);
+        m_owner.directoryChanged(joined, !next);
+        renewLease();
     }
 
     bool AgentMachine::accepts(const TunnelHeader& header)
     {
-        if (header.service != m_state.settings.service
-            || (m_state.directory && m_state.directory->isOut(header.dataCentre))) {
+        bool out = m_state.directory && m_state.directory->isOut(header.dataCentre);
+        if (header.service != m_state.settings.service || (out && header.kind != TunnelKind::PeerMessage)) {
             m_state.count(FlowCounter::DroppedForeign);
             return false;
         }
@@ -156,7 +171,7 @@
             return;
         FlowRecord* record = m_state.table.find(context.packet.key, context.hash);
         bool forHolder = !replayed && (header.kind == TunnelKind::ToHolder || header.kind == TunnelKind::OpenFlow);
-        bool sameTarget = !forHolder || header.targetIncarnation == m_state.target;
+        bool sameTarget = !forHolder || context.isOffer() || header.targetIncarnation == m_state.target;
         if (record && record->is(FlowRole::held) && sameTarget && m_holder.deliver(*record, context))
             return;
         if (!forHolder)
@@ -175,6 +190,12 @@
             return;
         }
         MemberId sender = header.sender;
+        bool sync = std::holds_alternative<BucketSyncRequest>(message)
+            || std::holds_alternative<BucketSyncReply>(message) || std::holds_alternative<BucketSyncStale>(message);
+        if (m_state.directory->isOut(header.dataCentre) && !sync) {
+            m_state.count(FlowCounter::DroppedForeign);
+            return;
+        }
         std::visit(Overloaded {
                        [&](const FlowOpened& m) { m_owner.opened(sender, m); },
                        [&](const FlowClosed& m) { m_owner.closed(m); },
@@ -183,7 +204,7 @@
                        [&](const BucketSyncRequest& m) { syncRequest(header, m); },
                        [&](const BucketSyncReply& m) { m_owner.syncReply(sender, m); },
                        [&](const BucketSyncStale& m) { m_owner.syncStale(m); },
-                       [&](const HolderSyncRequest& m) { m_holder.answerHolderSync(sender, m); },
+                       [&](const HolderSyncRequest& m) { holderSyncRequest(sender, m); },
                        [&](const HolderSyncReply& m) { m_holder.holderSyncReply(sender, m); },
                        [&](const LoadReport& m) { loadReport(sender, m); },
                    },
@@ -210,6 +231,13 @@
             m_holder.answerProbe(sender);
     }
 
+    void AgentMachine::holderSyncRequest(MemberId sender, const HolderSyncRequest& message)
+    {
+        if (Peer* peer = m_state.peer(sender))
+            peer->mayHoldUnknownUntil = m_state.now() + m_state.settings.absentHold;
+        m_holder.answerHolderSync(sender, message);
+    }
+
     void AgentMachine::syncRequest(const TunnelHeader& header, const BucketSyncRequest& request)
     {
         // Without the complete list of held flows there is nothing to promise yet; the request will be repeated.
@@ -291,9 +319,9 @@
     static const char* const names[] = { "delivered", "forwarded_to_owner", "forwarded_to_holder", "flows_opened",
         "flows_closed", "flows_adopted", "flows_placed", "placement_refused", "resets", "dropped_damaged",
         "dropped_foreign", "dropped_hops", "dropped_queue_full", "dropped_expired", "dropped_no_owner",
-        "dropped_isolated", "dropped_stale", "table_full", "copies_dropped", "list_incomplete", "conflicting_holders",
-        "sync_requests", "sync_stale", "buckets_taken", "buckets_settled", "refused_lease", "refused_limit",
-        "refused_version", "refused_target" };
+        "dropped_isolated", "dropped_unknown", "dropped_stale", "table_full", "copies_dropped", "list_incomplete",
+        "conflicting_holders", "sync_requests", "sync_stale", "buckets_taken", "buckets_settled", "refused_lease",
+        "refused_limit", "refused_version", "refused_target" };
     static_assert(sizeof(names) / sizeof(names[0]) == flowCounterCount, "one name for each counter");
     return names[static_cast<size_t>(counter)];
 }
--- a/libs/flow/agent_state.cc
+++ b/libs/flow/agent_state.cc
@@ -31,6 +31,33 @@
     return now() - std::max({ lastContact, lastOtherDataCentre, started }) >= settings.isolationLimit;
 }
 
+MemberId AgentState::copyMember(BucketId bucket, MemberId holder) const
+{
+    const Member* backup = buckets->backup(bucket);
+    if (backup && backup->id != holder)
+        return backup->id;
+    return spareMember(bucket);
+}
+
+void AgentState::chooseSpares()
+{
+    m_spares.assign(buckets ? buckets->bucketCount() : 0, MemberId());
+    for (size_t i = 0; i < m_spares.size(); ++i) {
+        BucketId bucket(static_cast<uint16_t>(i));
+        uint64_t bestRank = 0;
+        for (const Member& member : buckets->members()) {
+            if (!buckets->takesNewFlows(member) || &member == buckets->owner(bucket)
+                || &member == buckets->backup(bucket))
+                continue;
+            uint64_t rank = mixHash(member.id.value(), i);
+            if (rank >= bestRank) {
+                bestRank = rank;
+                m_spares[i] = member.id;
+            }
+        }
+    }
+}
+
 const PortSpec* AgentState::port(const FlowKey& key) const
 {
     if (!service || key.destinationAddress != service->spec.address)
@@ -104,7 +131,10 @@
 void AgentState::sendPeer(MemberId member, const PeerMessage& message)
 {
     const Peer* to = peer(member);
-    if (!to || to->out || member == settings.self)
+    // A data centre that is out gets nothing but the question whether it has stopped deciding.
+    bool sync = std::holds_alternative<BucketSyncRequest>(message) || std::holds_alternative<BucketSyncReply>(message)
+        || std::holds_alternative<BucketSyncStale>(message);
+    if (!to || (to->out && !sync) || member == settings.self)
         return;
     Bytes bytes = actions->keep(encodePeerMessage(message));
     actions->add(SendPeer { member, to->endpoint, header(TunnelKind::PeerMessage, BucketId(), 0), bytes });
@@ -151,7 +181,10 @@
     peer.dataCentre = member.dataCentre;
     peer.state = member.state;
     peer.capacity = member.capacity;
-    peer.out = directory->isOut(member.dataCentre);
+    bool out = directory->isOut(member.dataCentre);
+    if (out && !peer.out)
+        peer.outSince = now();
+    peer.out = out;
     peer.takesNew = takesNewFlows(*directory, member);
     if (member.target == peer.target && (peer.binding != 0 || member.target == Incarnation()))
         return;
@@ -171,6 +204,7 @@
     buckets = service ? std::make_unique<BucketTable>(*directory, *service) : nullptr;
     if (service)
         promised.resize(service->spec.buckets);
+    chooseSpares();
     std::vector<MemberId> joined;
     std::set<MemberId> present;
     if (buckets) {
@@ -199,16 +233,20 @@
 {
     FlowSummary summary;
     summary.key = record.key;
+    summary.sequence = record.sequence;
     summary.idle = state.stamp() - record.stamp;
     summary.request = record.has(FlowFlag::request);
     summary.refusing = record.has(FlowFlag::refusing);
+    summary.unverified = record.has(FlowFlag::unverified);
     return summary;
 }
 
 uint8_t flagsOf(const FlowSummary& summary)
 {
-    return static_cast<uint8_t>(
-        (summary.request ? FlowFlag::request : 0) | (summary.refusing ? FlowFlag::refusing : 0));
+    uint8_t flags = summary.request ? FlowFlag::request : 0;
+    flags |= summary.refusing ? FlowFlag::refusing : 0;
+    flags |= summary.unverified ? FlowFlag::unverified : 0;
+    return flags;
 }
 
 } // namespace cicadaward::detail
--- a/libs/flow/agent_state.h
+++ b/libs/flow/agent_state.h
@@ -28,7 +28,9 @@
     bool out = false; // its data centre has been taken out
     bool takesNew = false;
     Time absentSince;
+    Time outSince;
     Time avoidUntil; // it refused a flow recently
+    Time mayHoldUnknownUntil; // it restarted, and its target may have flows that no agent knows
 };
 
 // An IP packet on its way through the agent.
@@ -40,6 +42,8 @@
     PortMode mode = PortMode::Flow;
     Bytes bytes;
 
+    // An owner that does not know the flow offers its segment to targets that may have the connection.
+    bool isOffer() const { return header.kind == TunnelKind::ToHolder && header.targetIncarnation == Incarnation(); }
     bool opens() const { return packet.key.protocol == Protocol::Udp || packet.flags.opensConnection(); }
 };
 
@@ -72,7 +76,7 @@
     bool targetUp = false;
     bool draining = false;
     // The target may have been running before this process: it may have flows that this process does not know.
-    bool mayHoldUnknown = false;
+    bool targetMayBeOlder = false;
     bool holderComplete = false; // the flows of the target are known
 
     size_t heldCount = 0;
@@ -82,6 +86,10 @@
     Time started;
     Time lastContact;
     bool hasContact = false;
+    // A contact that named a directory that is not here yet. It renews the lease once the directory has arrived: an
+    // agent that does not learn of changes must not decide.
+    Time pendingContact;
+    DirectoryVersion pendingVersion;
     Time lastOtherDataCentre;
 
     Time now() const { return clock.now(); }
@@ -94,6 +102,12 @@
 
     DirectoryVersion version() const { return directory ? directory->version : DirectoryVersion {}; }
     bool owns(BucketId bucket) const;
+    bool isYoung() const { return now() - started < settings.absentHold; }
+    bool mayHoldUnknown() const { return targetUp && targetMayBeOlder && isYoung(); }
+    // The member that keeps the owner's copy of a flow: the bucket's backup, or another member if the backup holds the
+    // flow, because a copy beside the flow would be lost with it. None in a service of fewer than three members.
+    MemberId copyMember(BucketId bucket, MemberId holder) const;
+    MemberId spareMember(BucketId bucket) const { return m_spares[bucket.value()]; }
     bool hasLease() const { return hasContact && now() - lastContact < settings.lease; }
     bool isIsolated() const;
     bool isSelfOut() const { return directory && directory->isOut(settings.dataCentre); }
@@ -128,7 +142,9 @@
 
 private:
     void updatePeer(const Member& member, Peer& peer);
+    void chooseSpares();
 
+    std::vector<MemberId> m_spares; // for each bucket, a member that is neither owner nor backup
     DirectoryVersion m_wanted;
     Time m_lastWanted;
 };
--- a/libs/flow/bucket_sync.cc
+++ b/libs/flow/bucket_sync.cc
@@ -19,11 +19,17 @@
         session.needs.resize(buckets);
 }
 
-bool BucketSync::mayHoldFlows(MemberId member, const Peer& peer) const
+BucketSync::Need BucketSync::needOf(MemberId member, const Peer& peer) const
 {
-    if (member == m_state.settings.self || peer.out)
-        return false;
-    return peer.present || m_state.now() - peer.absentSince < m_state.settings.lease;
+    if (member == m_state.settings.self)
+        return Need::None;
+    // Its flows are abandoned, but it may go on deciding until it knows that it is out. It has to follow the directory
+    // to keep its lease, so after one lease it knows.
+    if (peer.out)
+        return m_state.now() - peer.outSince < m_state.settings.lease ? Need::Hard : Need::None;
+    if (peer.present || m_state.now() - peer.absentSince < m_state.settings.lease)
+        return Need::Hard;
+    return m_state.now() - peer.absentSince < m_state.settings.absentHold ? Need::Soft : Need::None;
 }
 
 void BucketSync::need(MemberId member, BucketId bucket, Need need)
@@ -40,16 +46,19 @@
     session.interval = firstInterval;
 }
 
-bool BucketSync::satisfy(Session& session, BucketId bucket)
+bool BucketSync::lower(Session& session, BucketId bucket, Need need)
 {
-    Need& need = session.needs[bucket.value()];
-    if (need == Need::None)
+    Need& current = session.needs[bucket.value()];
+    if (need >= current)
         return false;
     Bucket& state = m_buckets[bucket.value()];
-    bool hard = need == Need::Hard;
-    need = Need::None;
-    --session.open;
+    bool hard = current == Need::Hard;
+    current = need;
     --(hard ? state.hard : state.soft);
+    if (need == Need::Soft)
+        ++state.soft;
+    else
+        --session.open;
     if (hard && state.hard == 0) {
         ++m_settled;
         m_state.count(FlowCounter::BucketsSettled);
@@ -65,8 +74,8 @@
     ++m_taken;
     m_state.count(FlowCounter::BucketsTaken);
     for (const auto& [member, peer] : m_state.peers) {
-        if (mayHoldFlows(member, peer))
-            need(member, bucket, Need::Hard);
+        if (Need now = needOf(member, peer); now != Need::None)
+            need(member, bucket, now);
     }
     if (state.hard == 0) {
         ++m_settled;
@@ -126,7 +135,7 @@
         session.parts.erase(reply.buckets.front());
     }
     for (BucketId bucket : reply.buckets) {
-        if (bucket.value() < m_buckets.size() && satisfy(session, bucket))
+        if (bucket.value() < m_buckets.size() && lower(session, bucket, Need::None))
             ready.push_back(bucket);
     }
     session.interval = firstInterval;
@@ -156,14 +165,15 @@
         if (session.open == 0)
             continue;
         const Peer* peer = m_state.peer(member);
-        if (!peer || !mayHoldFlows(member, *peer)) {
+        Need most = peer ? needOf(member, *peer) : Need::None;
+        if (most != Need::Hard) {
             for (size_t i = 0; i < session.needs.size(); ++i) {
-                if (satisfy(session, BucketId(static_cast<uint16_t>(i))))
+                if (lower(session, BucketId(static_cast<uint16_t>(i)), most))
                     ready.push_back(BucketId(static_cast<uint16_t>(i)));
             }
-        } else if (m_state.now() >= session.nextRequest) {
-            request(member, session);
         }
+        if (session.open > 0 && m_state.now() >= session.nextRequest)
+            request(member, session);
     }
     return ready;
 }
--- a/libs/flow/bucket_sync.h
+++ b/libs/flow/bucket_sync.h
@@ -40,7 +40,8 @@
     bool accepts(MemberId sender, const BucketSyncReply& reply) const;
     // Marks the answered buckets; returns those whose packets can be decided again.
     std::vector<BucketId> answered(MemberId sender, const BucketSyncReply& reply);
-    // Repeats requests and gives up on members that have been absent for the lease. Returns as answered() does.
+    // Repeats requests. A member that has been absent for the lease has fenced itself, so decisions no longer wait for
+    // it; resets wait for another while, because its flows continue. Returns as answered() does.
     std::vector<BucketId> tick();
 
 private:
@@ -67,10 +68,11 @@
         Duration interval {};
     };
 
-    bool mayHoldFlows(MemberId member, const Peer& peer) const;
+    // What has to be known from this member now; falls from Hard to Soft to None while it is absent.
+    Need needOf(MemberId member, const Peer& peer) const;
     void need(MemberId member, BucketId bucket, Need need);
-    // Returns true when the need was open and the bucket is now settled.
-    bool satisfy(Session& session, BucketId bucket);
+    // Lowers the need. Returns true when the packets of the bucket can be decided again.
+    bool lower(Session& session, BucketId bucket, Need need);
     void request(MemberId member, Session& session);
 
     AgentState& m_state;
--- /dev/null
+++ b/libs/flow/flow_schedule_test.cc
@@ -0,0 +1,49 @@
+// Random schedules of packets, losses, duplicates, reorderings, restarts, crashes and directory changes against the
+// model. CICADAWARD_FLOW_SCHEDULES sets the number of schedules and CICADAWARD_FLOW_SEED the first seed.
+
+#include "flow/simulation.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+
+using namespace cicadaward;
+using namespace cicadaward::simulation;
+
+namespace {
+
+uint64_t setting(const char* name, uint64_t fallback)
+{
+    const char* text = std::getenv(name);
+    return text ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
+std::string report(const SimulationResult& result)
+{
+    std::string text;
+    for (const std::string& note : result.notes)
+        text += "\n  " + note;
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("established flows survive every schedule of faults", "[flow][schedules]")
+{
+    uint64_t count = setting("CICADAWARD_FLOW_SCHEDULES", 2000);
+    uint64_t first = setting("CICADAWARD_FLOW_SEED", 1);
+    uint64_t established = 0;
+    for (uint64_t seed = first; seed < first + count; ++seed) {
+        SimulationSettings settings;
+        settings.seed = seed;
+        settings.trace = count == 1;
+        SimulationResult result = Simulation(settings).run();
+        established += result.established;
+        if (result.brokenFlows + result.misdelivered + result.overAdmitted + result.splitFlows == 0)
+            continue;
+        FAIL_CHECK("seed " << seed << ": broken_flows " << result.brokenFlows << ", misdelivered "
+                           << result.misdelivered << ", over_admitted " << result.overAdmitted << ", split flows "
+                           << result.splitFlows << report(result));
+    }
+    // A schedule in which nothing happens would prove nothing.
+    CHECK(established > count * 10);
+}
--- a/libs/flow/flow_table.h
+++ b/libs/flow/flow_table.h
@@ -36,13 +36,17 @@
     static constexpr uint8_t answered = 8; // the target has answered the first packet
     static constexpr uint8_t established = 16; // the caller has sent more than its first packet
     static constexpr uint8_t request = 32; // PortMode::Request
+    static constexpr uint8_t unverified = 128; // taken back from a copy; the target has not confirmed it
     static constexpr uint8_t refusing = 64; // the endpoint answers with 503; not counted at the target
 };
 
 struct FlowRecord {
     FlowKey key;
     uint32_t stamp = 0; // milliseconds, wraps; last packet if held, else last confirmation by the holder
-    uint32_t callerAck = 0; // last acknowledgement number of the caller, for the reset that ends the flow
+    uint32_t sequence = 0; // of the segment that opened it, see FlowId; 0 when unknown
+    // Held: the target's next sequence number, for the reset that ends the flow. Else: number of the last
+    // OpenFlow sent for it, see FlowId::question.
+    uint32_t mark = 0;
     uint16_t binding = 0; // holder and incarnation, see Bindings
     uint8_t roles = 0; // FlowRole; 0 marks an empty slot
     uint8_t flags = 0; // FlowFlag
@@ -50,7 +54,7 @@
     bool is(uint8_t role) const { return (roles & role) != 0; }
     bool has(uint8_t flag) const { return (flags & flag) != 0; }
 };
-static_assert(sizeof(FlowRecord) == 28, "the budget of 64 bytes for each flow counts on this");
+static_assert(sizeof(FlowRecord) == 32, "the budget of 64 bytes for each flow counts on this");
 
 class FlowTable {
 public:
--- a/libs/flow/holder.cc
+++ b/libs/flow/holder.cc
@@ -46,7 +46,7 @@
         record->flags |= FlowFlag::established;
     noteCallerPacket(*record, context);
     m_state.count(FlowCounter::Delivered);
-    m_state.actions->add(DeliverPacket { context.mode, false, context.bytes });
+    m_state.actions->add(DeliverPacket { context.mode, false, false, context.bytes });
     return std::nullopt;
 }
 
@@ -61,6 +61,7 @@
     m_state.addRole(*record, FlowRole::held);
     record->flags = context.mode == PortMode::Request ? FlowFlag::request : 0;
     record->stamp = m_state.stamp();
+    record->mark = 0;
     return record;
 }
 
@@ -74,7 +75,7 @@
     m_state.addRole(*record, FlowRole::owned);
     record->flags |= FlowFlag::refusing;
     ++m_refusing;
-    m_state.actions->add(DeliverPacket { context.mode, true, context.bytes });
+    m_state.actions->add(DeliverPacket { context.mode, true, false, context.bytes });
     return true;
 }
 
@@ -83,7 +84,7 @@
     // The target answers a segment of a connection that it does not have with a reset, so this is safe. Its answer to
     // any other segment brings the flow back into the table.
     m_state.count(FlowCounter::Delivered);
-    m_state.actions->add(DeliverPacket { context.mode, false, context.bytes });
+    m_state.actions->add(DeliverPacket { context.mode, false, true, context.bytes });
 }
 
 bool Holder::deliver(FlowRecord& record, const PacketContext& context)
@@ -95,8 +96,12 @@
         return false;
     }
     noteCallerPacket(record, context);
+    // The owner offers the segment because it does not know the flow: the report was lost.
+    if (context.isOffer() && m_opened.size() < maxReports)
+        m_opened.push_back(record.key);
     m_state.count(FlowCounter::Delivered);
-    m_state.actions->add(DeliverPacket { context.mode, record.has(FlowFlag::refusing), context.bytes });
+    m_state.actions->add(DeliverPacket {
+        context.mode, record.has(FlowFlag::refusing), record.has(FlowFlag::unverified), context.bytes });
     return true;
 }
 
@@ -104,8 +109,9 @@
 {
     const TcpFlags& flags = context.packet.flags;
     record.stamp = m_state.stamp();
-    if (flags.ack)
-        record.callerAck = context.packet.tcpAcknowledgement;
+    // A target that takes a new first segment has begun a new connection.
+    if (flags.opensConnection())
+        record.sequence = context.packet.tcpSequence;
     if (flags.fin)
         record.flags |= FlowFlag::callerFin;
     // The target ignores a reset that is outside its window, so the flow ends only after a silence that follows it.
@@ -123,8 +129,14 @@
         Outcome outcome = packet.flags.rst ? Outcome::Refused : Outcome::Completed;
         m_admission.flows().observe(outcome, m_state.age(record));
     }
-    record.flags |= FlowFlag::answered;
-    record.stamp = m_state.stamp();
+    record.flags = static_cast<uint8_t>((record.flags | FlowFlag::answered) & ~FlowFlag::unverified);
+    // Taken from the target, not from what callers acknowledge: a caller that was sent here by mistake, with a new
+    // connection under the same 5-tuple, must not be reset with its own numbers.
+    record.mark = packet.tcpSequence + packet.payloadSize + (packet.flags.syn ? 1U : 0U) + (packet.flags.fin ? 1U : 0U);
+    // The caller acknowledges what the target sends, so its segments alone show that a TCP flow lives. A target that
+    // goes on sending to a caller that has left must not look younger than the caller's next flow.
+    if (record.key.protocol == Protocol::Udp)
+        record.stamp = m_state.stamp();
 }
 
 void Holder::targetPacket(Bytes bytes)
@@ -146,8 +158,18 @@
     uint64_t hash = key.hash();
     FlowRecord* record = m_state.table.find(key, hash);
     bool held = record && record->is(FlowRole::held);
-    bool living = !packet->flags.rst && !packet->flags.syn;
-    if (!held && m_state.mayHoldUnknown && m_state.targetUp && living) {
+    // The target does not have the connection, or it was offered a segment of one that it might have had. The owner is
+    // told, and decides what the caller gets.
+    bool guessed = !held || record->has(FlowFlag::unverified);
+    if (guessed && packet->flags.rst) {
+        m_state.count(FlowCounter::DroppedUnknown);
+        if (held)
+            close(*record);
+        else if (m_closed.size() < maxReports)
+            m_closed.push_back({ key, 0, 0 });
+        return;
+    }
+    if (!held && m_state.mayHoldUnknown() && !packet->flags.syn) {
         FlowSummary flow;
         flow.key = key;
         flow.request = port->mode == PortMode::Request;
@@ -176,12 +198,12 @@
 
 void Holder::toHolder(const PacketContext& context)
 {
-    bool current = context.header.targetIncarnation == m_state.target;
+    bool current = context.header.targetIncarnation == m_state.target || context.isOffer();
     if (!m_state.targetKnown || context.header.targetIncarnation > m_state.target || context.header.hops >= maxHops) {
         m_state.count(FlowCounter::DroppedStale);
         return;
     }
-    if (current && m_state.targetUp && m_state.mayHoldUnknown && !context.opens()) {
+    if (current && m_state.mayHoldUnknown() && !context.opens()) {
         deliverUnknown(context);
         return;
     }
@@ -211,20 +233,30 @@
         m_admission.flows().release();
     // The owner's audit finds a report that does not fit here or gets lost.
     if (m_closed.size() < maxReports)
-        m_closed.push_back(record.key);
+        m_closed.push_back({ record.key, record.sequence, 0 });
     return m_state.removeRole(record, FlowRole::held | FlowRole::owned | FlowRole::backup);
 }
 
+bool Holder::abandon(FlowRecord& record)
+{
+    m_state.count(FlowCounter::FlowsClosed);
+    if (record.has(FlowFlag::refusing))
+        --m_refusing;
+    else
+        m_admission.flows().release();
+    return m_state.removeRole(record, FlowRole::held);
+}
+
 void Holder::resetFlow(const FlowRecord& record)
 {
-    if (record.key.protocol != Protocol::Tcp || !record.has(FlowFlag::established))
+    if (record.key.protocol != Protocol::Tcp || !record.has(FlowFlag::established) || record.mark == 0)
         return;
-    // The last acknowledgement is what the caller expects next, or close enough to make it send a segment that the
-    // owner answers with an exact reset.
+    // The caller expects the target's next segment, or an earlier one that got lost; then it answers with a segment
+    // that the owner answers with an exact reset.
     IpPacket packet;
     packet.key = record.key;
     packet.flags.ack = true;
-    packet.tcpAcknowledgement = record.callerAck;
+    packet.tcpAcknowledgement = record.mark;
     m_state.resetCaller(packet);
 }
 
@@ -258,11 +290,11 @@
         m_binding = 0;
         if (m_state.bindings.find(m_state.settings.self, incarnation, m_binding))
             m_state.bindings.retain(m_binding);
-        m_state.mayHoldUnknown = first;
+        m_state.targetMayBeOlder = first;
         m_state.holderComplete = !first;
     }
     if (same && !m_state.targetUp)
-        m_state.mayHoldUnknown = true; // it was reported down, but it has kept its connections
+        m_state.targetMayBeOlder = true; // it was reported down, but it has kept its connections
     m_state.target = incarnation;
     m_state.targetKnown = true;
     m_state.targetUp = m_binding != 0;
@@ -275,7 +307,7 @@
     dropHeld();
     m_state.targetKnown = true;
     m_state.targetUp = false;
-    m_state.mayHoldUnknown = false;
+    m_state.targetMayBeOlder = false;
     m_state.holderComplete = true;
     m_session = 0;
 }
--- a/libs/flow/holder.h
+++ b/libs/flow/holder.h
@@ -28,6 +28,7 @@
     std::optional<RefusalReason> admit(const PacketContext& context, DirectoryVersion version) override;
     bool admitRefusing(const PacketContext& context) override;
     void deliverUnknown(const PacketContext& context) override;
+    bool abandon(FlowRecord& record) override;
 
     // A packet of a record with role Held. Returns false when the packet opens a new flow because the old one has
     // ended; the record is gone then.
@@ -80,7 +81,7 @@
     uint16_t m_binding = 0; // (self, target incarnation), retained
     size_t m_refusing = 0; // connections that are answered with 503
     std::vector<FlowKey> m_opened; // not yet reported to their owners
-    std::vector<FlowKey> m_closed;
+    std::vector<FlowId> m_closed;
 
     uint64_t m_session = 0; // of the holder sync; 0 when none runs
     std::map<MemberId, Source> m_sources;
--- a/libs/flow/holder_sync.cc
+++ b/libs/flow/holder_sync.cc
@@ -54,6 +54,7 @@
     BucketSyncReply reply;
     reply.session = request.session;
     reply.incarnation = m_state.target;
+    reply.mayHoldMore = m_state.mayHoldUnknown();
     for (BucketId bucket : buckets) {
         const Summaries& own = flows[bucket];
         if (own.size() > maxFlowsPerMessage) {
@@ -61,7 +62,7 @@
             for (uint32_t part = 0; part < parts.size(); ++part) {
                 m_state.sendPeer(sender,
                     BucketSyncReply { request.session, part, static_cast<uint32_t>(parts.size()), m_state.target,
-                        { bucket }, parts[part] });
+                        { bucket }, parts[part], m_state.mayHoldUnknown() });
             }
             continue;
         }
@@ -111,6 +112,9 @@
 
 void Holder::directoryChanged()
 {
+    // Operators abandon the flows of a data centre that they take out; their callers open new ones elsewhere.
+    if (m_state.isSelfOut())
+        dropHeld();
     if (m_state.targetUp && !m_state.holderComplete && m_session == 0)
         startHolderSync();
 }
@@ -153,8 +157,10 @@
         return;
     source.parts[reply.part] = true;
     source.done = ++source.count == reply.parts;
-    for (const FlowSummary& flow : reply.flows)
+    for (FlowSummary flow : reply.flows) {
+        flow.unverified = true;
         adopt(flow);
+    }
     tickHolderSync();
 }
 
@@ -174,6 +180,8 @@
     }
     m_state.setHolder(*record, m_binding);
     m_state.addRole(*record, FlowRole::held);
+    record->sequence = flow.sequence;
+    record->mark = 0;
     record->flags = static_cast<uint8_t>(flagsOf(flow) | FlowFlag::answered | FlowFlag::established);
     record->stamp = m_state.stamp();
     m_admission.flows().acquireExisting();
@@ -189,12 +197,12 @@
         return;
     FlowOpened opened { m_state.settings.self, check.incarnation, {} };
     FlowClosed closed { m_state.settings.self, check.incarnation, {} };
-    for (const FlowKey& key : check.flows) {
-        const FlowRecord* record = m_state.table.find(key, key.hash());
+    for (const FlowId& flow : check.flows) {
+        const FlowRecord* record = m_state.table.find(flow.key, flow.key.hash());
         if (record && record->is(FlowRole::held) && check.incarnation == m_state.target)
             opened.flows.push_back(summarize(m_state, *record));
         else
-            closed.flows.push_back(key);
+            closed.flows.push_back(flow);
     }
     if (!opened.flows.empty())
         m_state.sendPeer(sender, opened);
@@ -212,7 +220,8 @@
         m_state.sendPeer(member, message);
         message.flows.clear();
     };
-    auto report = [&](const FlowKey& key, bool wasOpened) {
+    auto report = [&](const FlowId& flow, bool wasOpened) {
+        const FlowKey& key = flow.key;
         uint64_t hash = key.hash();
         const Member* owner = m_state.buckets->owner(m_state.bucketOfHash(hash));
         const FlowRecord* record = m_state.table.find(key, hash);
@@ -226,15 +235,15 @@
             if (opened[owner->id].flows.size() == maxFlowsPerMessage)
                 flush(owner->id, opened[owner->id]);
         } else {
-            closed[owner->id].flows.push_back(key);
+            closed[owner->id].flows.push_back(flow);
             if (closed[owner->id].flows.size() == maxFlowsPerMessage)
                 flush(owner->id, closed[owner->id]);
         }
     };
     for (const FlowKey& key : m_opened)
-        report(key, true);
-    for (const FlowKey& key : m_closed)
-        report(key, false);
+        report({ key, 0, 0 }, true);
+    for (const FlowId& flow : m_closed)
+        report(flow, false);
     m_opened.clear();
     m_closed.clear();
     for (auto& [member, message] : opened) {
--- a/libs/flow/messages.h
+++ b/libs/flow/messages.h
@@ -20,17 +20,33 @@
 namespace cicadaward {
 
 // Bounds that keep a datagram under 1,400 bytes.
-constexpr size_t maxFlowsPerMessage = 44;
+constexpr size_t maxFlowsPerMessage = 34;
 constexpr size_t maxBucketsPerReply = 60;
 constexpr size_t maxBucketsPerRequest = 400;
 
+// One use of a 5-tuple. Callers use a 5-tuple again at once, and messages overtake each other: without the number of
+// the first segment, a late report about an old flow would end the new one.
+struct FlowId {
+    FlowKey key;
+    uint32_t sequence = 0; // of the first segment; 0 when unknown and for UDP, and matches any
+    // Set by an owner that asks and repeated in the answer: a first segment that was sent after the question makes the
+    // answer void. 0 in reports that answer no question.
+    uint32_t question = 0;
+
+    bool matches(uint32_t other) const { return sequence == 0 || other == 0 || sequence == other; }
+
+    MSGPACK_DEFINE_ARRAY(key, sequence, question);
+};
+
 struct FlowSummary {
     FlowKey key;
+    uint32_t sequence = 0; // as in FlowId
     uint32_t idle = 0; // milliseconds since its last packet
     bool request = false; // the agent terminates it
     bool refusing = false; // the agent answers it with 503
+    bool unverified = false; // taken back from a copy after a restart, not confirmed by the target
 
-    MSGPACK_DEFINE_ARRAY(key, idle, request, refusing);
+    MSGPACK_DEFINE_ARRAY(key, sequence, idle, request, refusing, unverified);
 };
 
 // Holder to owner: these flows are open here. Owner to backup: they are open at `holder`.
@@ -46,7 +62,7 @@
 struct FlowClosed {
     MemberId holder;
     Incarnation incarnation;
-    std::vector<FlowKey> flows;
+    std::vector<FlowId> flows;
 
     MSGPACK_DEFINE_ARRAY(holder, incarnation, flows);
 };
@@ -70,7 +86,7 @@
 // Owner to holder: which of these flows are open there? Answered with FlowOpened and FlowClosed.
 struct FlowCheck {
     Incarnation incarnation;
-    std::vector<FlowKey> flows;
+    std::vector<FlowId> flows;
 
     MSGPACK_DEFINE_ARRAY(incarnation, flows);
 };
@@ -95,8 +111,9 @@
     Incarnation incarnation;
     std::vector<BucketId> buckets;
     std::vector<FlowSummary> flows;
+    bool mayHoldMore = false; // the sender restarted; its target may have flows that no agent knows
 
-    MSGPACK_DEFINE_ARRAY(session, part, parts, incarnation, buckets, flows);
+    MSGPACK_DEFINE_ARRAY(session, part, parts, incarnation, buckets, flows, mayHoldMore);
 };
 
 // The sender knows a newer owner of the buckets that were asked for.
--- a/libs/flow/owner.cc
+++ b/libs/flow/owner.cc
@@ -20,23 +20,54 @@
 void Owner::packet(const PacketContext& context)
 {
     FlowRecord* record = m_state.table.find(context.packet.key, context.hash);
-    if (record && record->is(FlowRole::owned)) {
-        const Binding& binding = m_state.bindings.at(record->binding);
-        const Peer* holder = m_state.peer(binding.member);
-        bool reopen = record->is(FlowRole::opening) && context.packet.flags.opensConnection();
-        auto hops = static_cast<uint8_t>(context.header.hops + 1);
-        if (!holder || holder->out || hops > maxHops) {
-            m_state.count(FlowCounter::DroppedHops);
-            return;
-        }
-        // Opening again is a decision; without the right to decide, only an open flow gets the packet.
-        TunnelKind kind = reopen && mayDecide(context.bucket) ? TunnelKind::OpenFlow : TunnelKind::ToHolder;
-        m_state.count(FlowCounter::ForwardedToHolder);
-        m_state.sendTunnel(
-            holder->endpoint, m_state.header(kind, context.bucket, hops, binding.incarnation), context.bytes);
+    if (!record || !record->is(FlowRole::owned)) {
+        unknownFlow(context);
+    } else if (!hasEnded(*record)) {
+        forward(context, *record);
+    } else {
+        changed(context.packet.key);
+        m_state.removeRole(*record, FlowRole::owned | FlowRole::backup);
+        if (context.opens())
+            unknownFlow(context);
+        else
+            m_state.resetCaller(context.packet);
+    }
+}
+
+// The directory shows that the flow's target has gone or its data centre has been taken out.
+bool Owner::hasEnded(const FlowRecord& record) const
+{
+    const Binding& binding = m_state.bindings.at(record.binding);
+    const Peer* holder = m_state.peer(binding.member);
+    if (record.is(FlowRole::held) || !holder)
+        return false;
+    if (holder->out || binding.incarnation < holder->target)
+        return true;
+    return holder->present && holder->state == MemberState::TargetDown && binding.incarnation == holder->target;
+}
+
+void Owner::forward(const PacketContext& context, FlowRecord& record)
+{
+    const Binding& binding = m_state.bindings.at(record.binding);
+    const Peer* holder = m_state.peer(binding.member);
+    auto hops = static_cast<uint8_t>(context.header.hops + 1);
+    if (!holder || hops > maxHops) {
+        m_state.count(FlowCounter::DroppedHops);
         return;
     }
-    unknownFlow(context);
+    // Opening again is a decision; without the right to decide, only an open flow gets the packet.
+    bool reopen = record.is(FlowRole::opening) && context.packet.flags.opensConnection() && mayDecide(context.bucket);
+    if (reopen) {
+        record.sequence = context.packet.tcpSequence;
+        record.mark = ++m_opens;
+    }
+    // Only an open flow's caller sends such a segment, so the confirmation was lost.
+    if (record.is(FlowRole::opening) && context.packet.flags.ack && !context.packet.flags.syn)
+        record.roles &= static_cast<uint8_t>(~FlowRole::opening);
+    TunnelKind kind = reopen ? TunnelKind::OpenFlow : TunnelKind::ToHolder;
+    m_state.count(FlowCounter::ForwardedToHolder);
+    m_state.sendTunnel(
+        holder->endpoint, m_state.header(kind, context.bucket, hops, binding.incarnation), context.bytes);
 }
 
 void Owner::unknownFlow(const PacketContext& context)
@@ -51,33 +82,58 @@
         return;
     }
     if (!mayDecide(context.bucket)) {
-        FlowRecord* record = m_state.table.find(context.packet.key, context.hash);
-        const Peer* holder = record ? m_state.peer(m_state.bindings.at(record->binding).member) : nullptr;
-        // A copy from the time as backup tells where the flow probably is. The holder delivers it only if it has the
-        // flow, else the packet comes back and waits.
-        if (holder && !holder->out && context.header.hops < 2 && !context.opens()) {
-            m_state.count(FlowCounter::ForwardedToHolder);
-            m_state.sendTunnel(holder->endpoint,
-                m_state.header(TunnelKind::ToOwner, context.bucket, static_cast<uint8_t>(context.header.hops + 1)),
-                context.bytes);
-        } else {
+        if (context.opens() || context.header.hops >= 2 || !followCopy(context))
             queue(context);
-        }
         return;
     }
     if (context.opens()) {
-        place(context, nullptr, 0);
+        place(context, 0);
     } else if (!m_sync.isComplete(context.bucket)) {
         queue(context);
-    } else if (m_partial[context.bucket.value()]) {
-        m_state.count(FlowCounter::ListIncomplete);
-    } else if (m_state.mayHoldUnknown && m_state.targetUp) {
-        m_holder.deliverUnknown(context);
     } else {
-        m_state.resetCaller(context.packet);
+        unknownSegment(context);
     }
 }
 
+// A copy from the time as backup tells where the flow probably is. The holder delivers the packet only if it has the
+// flow, else the packet comes back. While the bucket is settled, only a copy of a member that is absent counts: all
+// others have said what they hold.
+bool Owner::followCopy(const PacketContext& context)
+{
+    const FlowRecord* record = m_state.table.find(context.packet.key, context.hash);
+    const Peer* holder = record ? m_state.peer(m_state.bindings.at(record->binding).member) : nullptr;
+    auto hops = static_cast<uint8_t>(context.header.hops + 1);
+    if (!holder || holder->out || hops > maxHops || (holder->present && mayDecide(context.bucket)))
+        return false;
+    m_state.count(FlowCounter::ForwardedToHolder);
+    m_state.sendTunnel(holder->endpoint, m_state.header(TunnelKind::ToOwner, context.bucket, hops), context.bytes);
+    return true;
+}
+
+void Owner::unknownSegment(const PacketContext& context)
+{
+    // Without an incarnation in the header, the holder knows that it is asked. Targets of agents that restarted may
+    // have the connection. Each of these targets gets the segment; the one that has it answers, and the answer brings
+    // the flow back. The others' resets are held back.
+    bool offered = m_state.mayHoldUnknown();
+    if (offered)
+        m_holder.deliverUnknown(context);
+    auto hops = static_cast<uint8_t>(context.header.hops + 1);
+    for (const auto& [member, peer] : m_state.peers) {
+        if (!peer.present || m_state.now() >= peer.mayHoldUnknownUntil || hops > maxHops)
+            continue;
+        offered = true;
+        m_state.count(FlowCounter::ForwardedToHolder);
+        m_state.sendTunnel(peer.endpoint, m_state.header(TunnelKind::ToHolder, context.bucket, hops), context.bytes);
+    }
+    if (offered || followCopy(context))
+        return;
+    if (m_partial[context.bucket.value()] || m_state.isYoung())
+        m_state.count(FlowCounter::DroppedUnknown);
+    else
+        m_state.resetCaller(context.packet);
+}
+
 uint32_t Owner::weight(MemberId member, const Peer& peer) const
 {
     if (member == m_state.settings.self)
@@ -119,21 +175,21 @@
         peer->avoidUntil = m_state.now() + avoidTime / 2 + avoidTime * m_random.below(1000) / 1000;
 }
 
-void Owner::place(const PacketContext& context, FlowRecord* record, unsigned tries)
+void Owner::place(const PacketContext& context, unsigned tries)
 {
     MemberId member;
     while (tries < maxTries && choose(context.hash, member)) {
         ++tries;
-        if (offer(context, member, record, tries))
+        if (offer(context, member, tries))
             return;
-        // A refusal of the local holder may have left the record as it was; it is looked up again.
-        record = m_state.table.find(context.packet.key, context.hash);
     }
-    refuse(context, record);
+    refuse(context);
 }
 
-bool Owner::offer(const PacketContext& context, MemberId member, FlowRecord* record, unsigned tries)
+bool Owner::offer(const PacketContext& context, MemberId member, unsigned tries)
 {
+    // Present if it is a copy from the time as backup, or if another member has refused the flow.
+    FlowRecord* record = m_state.table.find(context.packet.key, context.hash);
     if (member == m_state.settings.self) {
         if (m_holder.admit(context, m_state.version())) {
             avoid(member);
@@ -154,6 +210,8 @@
         m_state.addRole(*record, FlowRole::owned | FlowRole::opening);
         record->roles = static_cast<uint8_t>((record->roles & ~FlowRole::triesMask) | tries << FlowRole::triesShift);
         record->stamp = m_state.stamp();
+        record->sequence = context.packet.tcpSequence;
+        record->mark = ++m_opens;
         record->flags = context.mode == PortMode::Request ? FlowFlag::request : 0;
         m_state.sendTunnel(peer.endpoint,
             m_state.header(
@@ -165,8 +223,9 @@
     return true;
 }
 
-void Owner::refuse(const PacketContext& context, FlowRecord* record)
+void Owner::refuse(const PacketContext& context)
 {
+    FlowRecord* record = m_state.table.find(context.packet.key, context.hash);
     m_state.count(FlowCounter::PlacementRefused);
     if (record) {
         changed(record->key);
@@ -180,7 +239,8 @@
 void Owner::queue(const PacketContext& context)
 {
     m_state.wantDirectory(context.header.version);
-    QueuedPacket packet { context.header, { context.bytes.begin(), context.bytes.end() }, m_state.now() };
+    QueuedPacket packet { context.header, { context.bytes.begin(), context.bytes.end() },
+        m_replayedSince.value_or(m_state.now()) };
     if (!m_queue.push(context.bucket, std::move(packet)))
         m_state.count(FlowCounter::DroppedQueueFull);
 }
@@ -188,66 +248,69 @@
 void Owner::replay(const std::vector<BucketId>& buckets)
 {
     for (BucketId bucket : buckets) {
-        for (QueuedPacket& packet : m_queue.take(bucket))
+        for (QueuedPacket& packet : m_queue.take(bucket)) {
+            m_replayedSince = packet.since; // it may have to wait again
             m_replay(packet.header, m_state.actions->keep(std::move(packet.bytes)));
+            m_replayedSince.reset();
+        }
     }
 }
 
 void Owner::replayAll() { replay(m_queue.buckets()); }
 
-void Owner::directoryChanged(const std::vector<MemberId>& joined)
+void Owner::directoryChanged(const std::vector<MemberId>& joined, bool missed)
 {
     size_t count = m_state.buckets ? m_state.buckets->bucketCount() : 0;
-    if (m_fenced && m_state.hasLease() && m_state.version() >= m_least)
-        m_fenced = false;
     m_sync.resize(count);
     m_copy.resize(count);
     m_partial.resize(count);
     m_backups.resize(count);
     for (MemberId member : joined)
         m_sync.memberJoined(member);
-    for (size_t i = 0; i < count; ++i) {
+    // In a version that was missed, another member may have owned the bucket.
+    takeBuckets(missed);
+    dropRecords();
+    replay(m_sync.tick());
+    replayAll();
+}
+
+void Owner::takeBuckets(bool again)
+{
+    for (size_t i = 0; i < m_backups.size(); ++i) {
         BucketId bucket(static_cast<uint16_t>(i));
-        if (!m_state.owns(bucket))
+        if (!m_state.owns(bucket)) {
             m_sync.drop(bucket);
-        else if (!m_sync.isTaken(bucket) && !m_fenced && m_state.promised[i] <= m_state.version()) {
+            m_backups[i] = {};
+            continue;
+        }
+        bool take = again || !m_sync.isTaken(bucket);
+        if (take && !m_fenced && m_state.promised[i] <= m_state.version()) {
             m_partial[i] = false;
             m_sync.take(bucket);
         }
         const Member* backup = m_state.buckets->backup(bucket);
-        MemberId backupId = backup ? backup->id : MemberId();
-        if (m_state.owns(bucket) && backupId != m_backups[i])
+        std::pair<MemberId, MemberId> copies(backup ? backup->id : MemberId(), m_state.spareMember(bucket));
+        if (copies != m_backups[i])
             copyToBackup(bucket);
-        m_backups[i] = m_state.owns(bucket) ? backupId : MemberId();
+        m_backups[i] = copies;
     }
-    dropRecords();
-    replay(m_sync.tick());
-    replayAll();
 }
 
-// Records of flows that the new directory ends: their target started again or their data centre is out. Records of
-// buckets that are owned elsewhere now become copies.
+// Records of buckets that are owned elsewhere now become copies, and copies of ended flows go. An owned record of an
+// ended flow stays, so that its caller gets a reset.
 void Owner::dropRecords()
 {
     FlowTable& table = m_state.table;
     for (size_t i = 0; i < table.slots();) {
         FlowRecord* record = table.at(i);
         bool gone = false;
-        if (record && !record->is(FlowRole::held)) {
-            const Binding& binding = m_state.bindings.at(record->binding);
-            const Peer* holder = m_state.peer(binding.member);
-            bool ended = holder
-                && (holder->out || (holder->present && binding.incarnation < holder->target)
-                    || (holder->present && holder->state == MemberState::TargetDown
-                        && binding.incarnation <= holder->target));
-            if (ended)
-                gone = m_state.removeRole(*record, FlowRole::owned | FlowRole::backup);
-        }
-        if (record && !gone && record->is(FlowRole::owned) && !m_state.owns(m_state.bucketOfHash(record->key.hash()))) {
+        if (record && record->is(FlowRole::owned) && !m_state.owns(m_state.bucketOfHash(record->key.hash()))) {
             m_state.addRole(*record, FlowRole::backup);
             m_state.removeRole(*record, FlowRole::owned);
             record->stamp = record->is(FlowRole::held) ? record->stamp : m_state.stamp();
         }
+        if (record && !record->is(FlowRole::held | FlowRole::owned) && hasEnded(*record))
+            gone = m_state.removeRole(*record, FlowRole::backup);
         i += gone ? 0 : 1;
     }
 }
@@ -259,12 +322,11 @@
         m_sync.drop(BucketId(static_cast<uint16_t>(i)));
 }
 
-void Owner::leaseRenewed(DirectoryVersion latest)
+void Owner::leaseRenewed()
 {
-    m_least = latest;
-    m_state.wantDirectory(latest);
+    m_fenced = false;
     if (m_state.directory)
-        directoryChanged({});
+        directoryChanged({}, true);
 }
 
 void Owner::promised(BucketId bucket) { m_sync.drop(bucket); }
@@ -273,7 +335,11 @@
 {
     if (!m_sync.accepts(sender, message))
         return;
-    for (const FlowSummary& flow : message.flows)
+    if (Peer* peer = m_state.peer(sender); peer && message.mayHoldMore)
+        peer->mayHoldUnknownUntil = m_state.now() + m_state.settings.absentHold;
+    const Peer* from = m_state.peer(sender);
+    // Flows in a data centre that is out are abandoned; only the promise counts.
+    for (const FlowSummary& flow : from && !from->out ? message.flows : std::vector<FlowSummary>())
         learn(sender, message.incarnation, flow, FlowRole::owned);
     replay(m_sync.answered(sender, message));
 }
--- a/libs/flow/owner.h
+++ b/libs/flow/owner.h
@@ -28,6 +28,8 @@
     virtual bool admitRefusing(const PacketContext& context) = 0;
     // Delivers a segment of a flow that this process does not know to the target that may know it.
     virtual void deliverUnknown(const PacketContext& context) = 0;
+    // Gives up a held flow whose caller has gone on elsewhere. Returns true when the record is gone.
+    virtual bool abandon(FlowRecord& record) = 0;
 };
 
 class Owner {
@@ -46,9 +48,10 @@
     // A packet of a flow that is not held here.
     void packet(const PacketContext& context);
 
-    void directoryChanged(const std::vector<MemberId>& joined);
+    // `missed`: at least one version between the last directory and this one was never seen here.
+    void directoryChanged(const std::vector<MemberId>& joined, bool missed);
     void leaseLapsed();
-    void leaseRenewed(DirectoryVersion latest);
+    void leaseRenewed();
     // Another member has been promised the bucket at a newer version.
     void promised(BucketId bucket);
 
@@ -75,11 +78,18 @@
 private:
     bool mayDecide(BucketId bucket) const;
     void unknownFlow(const PacketContext& context);
-    void place(const PacketContext& context, FlowRecord* record, unsigned tries);
-    bool offer(const PacketContext& context, MemberId member, FlowRecord* record, unsigned tries);
-    void refuse(const PacketContext& context, FlowRecord* record);
+    void place(const PacketContext& context, unsigned tries);
+    bool offer(const PacketContext& context, MemberId member, unsigned tries);
+    void refuse(const PacketContext& context);
+    // A segment, not the first, of a flow that neither this owner nor any member that answered knows.
+    void unknownSegment(const PacketContext& context);
+    bool followCopy(const PacketContext& context);
+    void forward(const PacketContext& context, FlowRecord& record);
+    bool hasEnded(const FlowRecord& record) const;
+    bool isMoreAlive(const FlowRecord& record, const FlowSummary& flow) const;
     bool choose(uint64_t flowHash, MemberId& chosen) const;
     uint32_t weight(MemberId member, const Peer& peer) const;
+    void takeBuckets(bool again);
     void queue(const PacketContext& context);
     void replay(const std::vector<BucketId>& buckets);
     void learn(MemberId holder, Incarnation incarnation, const FlowSummary& flow, uint8_t role);
@@ -88,6 +98,8 @@
     void copyToBackup(BucketId bucket);
     void flushChanges();
     bool auditRecord(FlowRecord& record);
+    void check(FlowRecord& record);
+    void handBack(const PacketContext& context, FlowRecord* record);
     void flushChecks();
     void refreshCopies();
 
@@ -96,18 +108,18 @@
     LocalHolder& m_holder;
     BucketSync m_sync;
     PacketQueue m_queue;
+    std::optional<Time> m_replayedSince; // arrival of the packet that is being replayed
     std::function<void(const TunnelHeader&, Bytes)> m_replay;
+    uint32_t m_opens = 0; // OpenFlow packets sent
     bool m_fenced = true; // no lease since the last take-over
-    // After a lapse of the lease, no bucket is taken under an older directory: the members that share it may have been
-    // cut off together, and the owner that replaced this one may not be among them.
-    DirectoryVersion m_least;
     std::vector<uint8_t> m_copy; // for each bucket, sweeps in which its flows are copied to the backup
-    std::vector<MemberId> m_backups; // for each bucket, the backup that has the copies
+    std::vector<std::pair<MemberId, MemberId>>
+        m_backups; // for each bucket, backup and spare member that have the copies
     std::vector<bool> m_partial; // buckets with flows that did not fit into the table
     uint32_t m_refreshed = 0; // buckets whose copies have been repeated
     Time m_refreshStart;
     std::vector<FlowKey> m_changes; // flows whose state the backup has not been told
-    std::vector<std::pair<uint16_t, FlowKey>> m_checks; // by binding, flows to ask the holder about
+    std::vector<std::pair<uint16_t, FlowId>> m_checks; // by binding, flows to ask the holder about
 };
 
 } // namespace cicadaward::detail
--- a/libs/flow/owner_records.cc
+++ b/libs/flow/owner_records.cc
@@ -14,6 +14,8 @@
     // FlowClosed messages distort the balance until then. 1,423 flows cost about 0.5 KB/s.
     constexpr Duration openingAudit = std::chrono::seconds(1);
     constexpr Duration audit = std::chrono::seconds(60);
+    // An ended flow waits this long for a segment of its caller, which is answered with a reset.
+    constexpr Duration endedLifetime = std::chrono::minutes(10);
     // A copy of a bucket that belongs to others is kept this long for a holder that restarts during the change.
     constexpr Duration copyLifetime = std::chrono::seconds(60);
     // The owner repeats all copies in this time, which repairs lost messages (1,423 flows: 60 bytes/s). A copy that was
@@ -24,6 +26,15 @@
 
 } // namespace
 
+// Two holders report the same 5-tuple. The caller has gone on at the one that has heard it last; a flow that was taken
+// back from a copy after a restart may have ended before it.
+bool Owner::isMoreAlive(const FlowRecord& record, const FlowSummary& flow) const
+{
+    if (record.has(FlowFlag::unverified) != flow.unverified)
+        return flow.unverified;
+    return m_state.stamp() - record.stamp < flow.idle;
+}
+
 void Owner::learn(MemberId holder, Incarnation incarnation, const FlowSummary& flow, uint8_t role)
 {
     if (!m_state.port(flow.key))
@@ -31,19 +42,28 @@
     const Peer* peer = m_state.peer(holder);
     if (!peer || incarnation == Incarnation() || incarnation < peer->target)
         return;
+    // The holder has not noticed yet that its target has gone.
+    if (peer->present && peer->state == MemberState::TargetDown && incarnation == peer->target)
+        return;
     uint64_t hash = flow.key.hash();
     FlowRecord* record = m_state.table.find(flow.key, hash);
     if (record && record->is(FlowRole::held)) {
         m_state.count(FlowCounter::ConflictingHolders);
-        return;
+        if (role == FlowRole::backup || isMoreAlive(*record, flow))
+            return;
+        if (m_holder.abandon(*record))
+            record = nullptr;
     }
-    bool known = record && record->is(FlowRole::owned) && !m_state.isAt(*record, holder);
+    bool owned = record && record->is(FlowRole::owned);
+    // A late report about an earlier flow with this 5-tuple.
+    if (owned && record->is(FlowRole::opening) && !FlowId { flow.key, flow.sequence, 0 }.matches(record->sequence))
+        return;
+    bool known = owned && !m_state.isAt(*record, holder);
     if (known && role == FlowRole::backup)
         return;
     if (known && !record->is(FlowRole::opening)) {
         m_state.count(FlowCounter::ConflictingHolders);
-        // The flow with the younger packet is the living one.
-        if (m_state.stamp() - record->stamp < flow.idle)
+        if (isMoreAlive(*record, flow))
             return;
     }
     uint16_t binding = 0;
@@ -60,8 +80,10 @@
     m_state.setHolder(*record, binding);
     m_state.addRole(*record, role);
     record->roles &= static_cast<uint8_t>(~FlowRole::opening);
-    // A copy's age is the time since the owner repeated it.
-    record->stamp = role == FlowRole::backup ? m_state.stamp() : m_state.stamp() - flow.idle;
+    // A copy's age is the time since the owner repeated it, and a known flow's the time since the holder confirmed it.
+    bool confirmed = role == FlowRole::backup || (owned && !known);
+    record->stamp = confirmed ? m_state.stamp() : m_state.stamp() - flow.idle;
+    record->sequence = flow.sequence;
     record->flags = flagsOf(flow);
     if (role == FlowRole::owned)
         changed(flow.key);
@@ -81,9 +103,12 @@
 
 void Owner::closed(const FlowClosed& message)
 {
-    for (const FlowKey& key : message.flows) {
+    for (const FlowId& flow : message.flows) {
+        const FlowKey& key = flow.key;
         FlowRecord* record = m_state.table.find(key, key.hash());
-        if (!record || record->is(FlowRole::held))
+        if (!record || record->is(FlowRole::held) || !flow.matches(record->sequence))
+            continue;
+        if (flow.question != 0 && flow.question != record->mark)
             continue;
         const Binding& binding = m_state.bindings.at(record->binding);
         // The owner's word to its backup names no holder.
@@ -104,14 +129,10 @@
     FlowRecord* record = m_state.table.find(context.packet.key, context.hash);
     bool ours = record && !record->is(FlowRole::held) && m_state.isAt(*record, sender);
     if (message.reason == RefusalReason::Closed) {
-        if (ours) {
-            changed(context.packet.key);
-            m_state.removeRole(*record, FlowRole::owned | FlowRole::backup);
-        }
-        m_replay(context.header, context.bytes);
+        handBack(context, ours ? record : nullptr);
         return;
     }
-    if (!ours || !record->is(FlowRole::opening))
+    if (!ours || !record->is(FlowRole::opening) || record->sequence != context.packet.tcpSequence)
         return; // confirmed meanwhile, or already tried elsewhere
     if (message.reason == RefusalReason::StaleOwner || !mayDecide(context.bucket)) {
         // Another agent decides; the caller's next first packet reaches it.
@@ -119,7 +140,32 @@
         return;
     }
     avoid(sender);
-    place(context, record, (record->roles & FlowRole::triesMask) >> FlowRole::triesShift);
+    place(context, (record->roles & FlowRole::triesMask) >> FlowRole::triesShift);
+}
+
+// The holder does not have the flow of this packet.
+void Owner::handBack(const PacketContext& context, FlowRecord* record)
+{
+    bool newFlow = context.packet.flags.opensConnection();
+    if (!record && !newFlow) {
+        // Offered to a target that does not have the flow, or closed meanwhile; the caller sends it again.
+        m_state.count(FlowCounter::DroppedStale);
+        return;
+    }
+    if (record && !record->is(FlowRole::owned)) {
+        // A copy that was wrong.
+        m_state.removeRole(*record, FlowRole::backup);
+    } else if (record && newFlow && context.packet.tcpSequence != record->sequence) {
+        changed(context.packet.key);
+        m_state.removeRole(*record, FlowRole::owned | FlowRole::backup);
+    } else if (record) {
+        // The answer may be older than the record. The holder is asked about exactly this flow, but not while the
+        // packet that opens it may be on its way; the caller's next segment finds the result.
+        if (!record->is(FlowRole::opening) || m_state.age(*record) >= openingAudit)
+            check(*record);
+        return;
+    }
+    m_replay(context.header, context.bytes);
 }
 
 void Owner::loadReport(MemberId sender, const LoadReport& message)
@@ -146,17 +192,19 @@
 void Owner::flushChanges()
 {
     std::map<std::pair<MemberId, uint16_t>, std::vector<FlowSummary>> opened;
-    std::map<MemberId, std::vector<FlowKey>> closed;
+    std::map<MemberId, std::vector<FlowId>> closed;
     for (const FlowKey& key : m_changes) {
         uint64_t hash = key.hash();
-        const Member* backup = m_state.buckets->backup(m_state.bucketOfHash(hash));
-        if (!backup)
-            continue;
+        BucketId bucket = m_state.bucketOfHash(hash);
         const FlowRecord* record = m_state.table.find(key, hash);
-        if (record && record->is(FlowRole::owned))
-            opened[{ backup->id, record->binding }].push_back(summarize(m_state, *record));
-        else
-            closed[backup->id].push_back(key);
+        if (record && record->is(FlowRole::owned)) {
+            MemberId keeper = m_state.copyMember(bucket, m_state.bindings.at(record->binding).member);
+            opened[{ keeper, record->binding }].push_back(summarize(m_state, *record));
+            continue;
+        }
+        const Member* backup = m_state.buckets->backup(bucket);
+        for (MemberId keeper : { backup ? backup->id : MemberId(), m_state.spareMember(bucket) })
+            closed[keeper].push_back({ key, 0, 0 });
     }
     m_changes.clear();
     for (const auto& [target, flows] : opened) {
@@ -187,8 +235,7 @@
         return false;
     if (record.is(FlowRole::owned))
         return auditRecord(record);
-    const Member* backup = m_state.buckets->backup(bucket);
-    bool mine = backup && backup->id == m_state.settings.self;
+    bool mine = m_state.copyMember(bucket, m_state.bindings.at(record.binding).member) == m_state.settings.self;
     if (m_state.age(record) > (mine ? copyExpiry : copyLifetime))
         return m_state.removeRole(record, FlowRole::backup);
     return false;
@@ -197,6 +244,8 @@
 bool Owner::auditRecord(FlowRecord& record)
 {
     const Peer* holder = m_state.peer(m_state.bindings.at(record.binding).member);
+    if (hasEnded(record))
+        return m_state.age(record) >= endedLifetime && m_state.removeRole(record, FlowRole::owned | FlowRole::backup);
     if (!holder || !holder->present) {
         // The member may return with the flow. One that never opened, or is away for longer than any flow stays silent,
         // is gone.
@@ -206,14 +255,20 @@
     }
     if (m_state.age(record) < (record.is(FlowRole::opening) ? openingAudit : audit))
         return false;
-    record.stamp = m_state.stamp();
-    m_checks.emplace_back(record.binding, record.key);
+    check(record);
     return false;
 }
 
+void Owner::check(FlowRecord& record)
+{
+    record.stamp = m_state.stamp();
+    if (m_checks.size() < maxChanges)
+        m_checks.emplace_back(record.binding, FlowId { record.key, record.sequence, record.mark });
+}
+
 void Owner::flushChecks()
 {
-    std::sort(m_checks.begin(), m_checks.end());
+    std::sort(m_checks.begin(), m_checks.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
     for (size_t i = 0; i < m_checks.size();) {
         uint16_t number = m_checks[i].first;
         const Binding& binding = m_state.bindings.at(number);
--- /dev/null
+++ b/libs/flow/simulation.cc
@@ -0,0 +1,421 @@
+#include "flow/simulation.h"
+
+#include <algorithm>
+
+namespace cicadaward::simulation {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+    constexpr Duration lease = seconds(3);
+    constexpr Duration announceInterval = milliseconds(500);
+    constexpr Duration publishInterval = milliseconds(250);
+    constexpr ServiceId mainService { 1 };
+    constexpr ServiceId otherService { 2 };
+
+    template <typename... Handlers> struct Overloaded : Handlers... {
+        using Handlers::operator()...;
+    };
+    template <typename... Handlers> Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+} // namespace
+
+Simulation::Simulation(const SimulationSettings& settings)
+    : m_settings(settings)
+    , m_random(settings.seed)
+    , m_start(m_clock.now())
+    , m_loss(settings.loss)
+{
+}
+
+void Simulation::after(Duration delay, Step step)
+{
+    m_queue.push({ m_clock.now() + delay, m_order++, std::make_shared<Step>(std::move(step)) });
+}
+
+Duration Simulation::between(int lowMs, int highMs)
+{
+    return std::chrono::microseconds(lowMs * 1000 + static_cast<int64_t>(m_random.below((highMs - lowMs) * 1000 + 1)));
+}
+
+void Simulation::note(const std::string& text)
+{
+    if (!m_settings.trace && m_result.notes.size() >= 20)
+        return;
+    auto ms = std::chrono::duration_cast<milliseconds>(m_clock.now() - m_start).count();
+    m_result.notes.push_back(std::to_string(ms) + " ms: " + text);
+}
+
+// Network and processes.
+
+void Simulation::sendDatagram(const Instance* from, const Endpoint& to, const TunnelHeader& header, Bytes bytes)
+{
+    auto found = m_byAddress.find(to.address);
+    if (found == m_byAddress.end() || (from && from->cutFromAll))
+        return;
+    if (m_settings.trace && header.kind != TunnelKind::PeerMessage) {
+        auto parsed = parseIpPacket(bytes.data(), bytes.size());
+        const IpPacket& packet = std::get<IpPacket>(parsed);
+        note("segment " + std::to_string(packet.tcpSequence) + (packet.flags.syn ? " SYN" : "") + " kind "
+            + std::to_string(static_cast<int>(header.kind)) + " from "
+            + (from ? std::to_string(from->endpoint.address & 0xff) : std::string("entry")) + " to "
+            + std::to_string(to.address & 0xff) + " version " + std::to_string(header.version.sequence));
+    }
+    size_t copies = chance(m_settings.duplicate) ? 2 : 1;
+    for (size_t i = 0; i < copies; ++i) {
+        if (chance(m_loss))
+            continue;
+        Duration delay = chance(0.05) ? between(5, 60) : between(1, 4);
+        after(delay, [this, address = to.address, header, copy = std::vector<uint8_t>(bytes.begin(), bytes.end())] {
+            Instance& instance = *m_instances[m_byAddress[address]];
+            if (!instance.cutFromAll)
+                feed(instance, TunnelReceived { header, copy });
+        });
+    }
+}
+
+void Simulation::feed(Instance& instance, const AgentEvent& event)
+{
+    if (!instance.agent)
+        return;
+    Actions actions;
+    instance.agent->handle(event, actions);
+    carryOut(instance, actions);
+}
+
+void Simulation::carryOut(Instance& instance, Actions& actions)
+{
+    for (const Action& action : actions.list()) {
+        std::visit(Overloaded {
+                       [&](const SendTunnel& a) {
+                           ++m_result.extraHops;
+                           sendDatagram(&instance, a.to, a.header, a.packet);
+                       },
+                       [&](const SendPeer& a) { sendDatagram(&instance, a.to, a.header, a.message); },
+                       [&](const DeliverPacket& a) { deliver(instance, a); },
+                       [&](const SendToCaller& a) {
+                           if (instance.cutFromAll || chance(m_loss))
+                               return;
+                           after(between(1, 3), [this, copy = std::vector<uint8_t>(a.packet.begin(), a.packet.end())] {
+                               toCaller(copy);
+                           });
+                       },
+                       [&](const RequestDirectory&) {
+                           size_t index = m_byAddress[instance.endpoint.address];
+                           if (!chance(0.1))
+                               giveDirectory(index, between(5, 50));
+                       },
+                   },
+            action);
+    }
+}
+
+void Simulation::startAgent(Instance& instance)
+{
+    AgentFlowsSettings settings;
+    settings.self = instance.id;
+    settings.service = instance.service;
+    settings.dataCentre = instance.dataCentre;
+    settings.absentHold = seconds(12); // longer than any cut of a schedule
+    settings.flowBytes = 400 * sizeof(FlowKey) * 2;
+    if (m_settings.capacity > 100)
+        settings.flowBytes = 1 << 20;
+    instance.random = std::make_unique<Random>(m_random.next());
+    instance.admission
+        = std::make_unique<TargetAdmission>(m_clock, TargetCapacity { m_settings.capacity, 1, m_settings.coldShare });
+    instance.agent = makeNode(m_settings.policy, settings, *instance.admission, m_clock, *instance.random);
+    instance.process = m_nextIncarnation++;
+    uint64_t process = instance.process;
+    after(between(5, 100), [this, &instance, process] {
+        if (instance.process == process && instance.targetAlive)
+            feed(instance, TargetUp { Incarnation(instance.target) });
+        else if (instance.process == process)
+            feed(instance, TargetDown {});
+    });
+}
+
+void Simulation::stopAgent(Instance& instance)
+{
+    instance.agent.reset();
+    instance.disturbed = m_clock.now();
+    ++instance.process;
+}
+
+void Simulation::startTarget(Instance& instance)
+{
+    instance.targetAlive = true;
+    instance.target = m_nextIncarnation++;
+    instance.targetStarted = m_clock.now();
+    instance.connections.clear();
+    // A target announces itself before it takes connections.
+    feed(instance, TargetUp { Incarnation(instance.target) });
+}
+
+void Simulation::addInstance(ServiceId service, Endpoint endpoint)
+{
+    auto instance = std::make_unique<Instance>();
+    size_t index = m_instances.size();
+    instance->id = MemberId(mixHash(index + 1, 77));
+    instance->service = service;
+    instance->dataCentre = DataCentreId(static_cast<uint16_t>(1 + index % 3));
+    instance->endpoint = endpoint;
+    m_byAddress[endpoint.address] = index;
+    m_instances.push_back(std::move(instance));
+    startTarget(*m_instances[index]);
+    startAgent(*m_instances[index]);
+    after(between(0, 300), [this, index] { announce(index); });
+    after(between(0, 100), [this, index] { tick(index); });
+}
+
+void Simulation::tick(size_t index)
+{
+    if (m_instances[index]->gone)
+        return;
+    feed(*m_instances[index], Tick {});
+    after(m_settings.tick, [this, index] { tick(index); });
+}
+
+// Control.
+
+void Simulation::announce(size_t index)
+{
+    Instance& instance = *m_instances[index];
+    if (instance.gone)
+        return;
+    after(announceInterval, [this, index] { announce(index); });
+    if (!instance.agent || instance.cutFromControl || instance.cutFromAll)
+        return;
+    instance.lastHeard = m_clock.now();
+    instance.heard = true;
+    Member& member = instance.announced;
+    member.id = instance.id;
+    member.service = instance.service;
+    member.dataCentre = instance.dataCentre;
+    member.tunnel = instance.endpoint;
+    member.capacity = m_settings.capacity;
+    member.process = Incarnation(instance.process);
+    member.target = Incarnation(instance.target);
+    member.state = instance.admission->isWarm() ? MemberState::Warm : MemberState::Warming;
+    if (instance.draining)
+        member.state = MemberState::Draining;
+    if (!instance.targetAlive)
+        member.state = MemberState::TargetDown;
+    Time sentAt = m_clock.now();
+    if (!m_directory || chance(0.05))
+        return;
+    after(between(2, 10), [this, &instance, sentAt, process = instance.process, latest = m_directory->version] {
+        if (instance.process == process && !instance.cutFromControl && !instance.cutFromAll)
+            feed(instance, ControlContact { sentAt, latest });
+    });
+}
+
+void Simulation::publish()
+{
+    Directory next;
+    next.version = m_directory ? m_directory->version : DirectoryVersion { Term(1), 0 };
+    for (uint16_t i = 1; i <= 3; ++i)
+        next.dataCentres.push_back({ DataCentreId(i), "dc" + std::to_string(i), i == m_dataCentreOut });
+    for (uint32_t i = 1; i <= 2; ++i) {
+        Service service;
+        service.id = ServiceId(i);
+        service.spec.name = "service" + std::to_string(i);
+        service.spec.address = i == 1 ? serviceAddress : otherAddress;
+        service.spec.ports = { { servicePort, Protocol::Tcp, PortMode::Flow } };
+        service.spec.buckets = m_settings.buckets;
+        service.spec.flowsPerTarget = m_settings.capacity;
+        service.spec.coldShare = m_settings.coldShare;
+        next.services.push_back(service);
+    }
+    for (const auto& instance : m_instances) {
+        if (instance->heard && !instance->gone && m_clock.now() - instance->lastHeard <= lease)
+            next.members.push_back(instance->announced);
+    }
+    std::sort(next.members.begin(), next.members.end(), [](const Member& a, const Member& b) { return a.id < b.id; });
+    if (m_directory && encodeDirectory(next) == encodeDirectory(*m_directory))
+        return;
+    ++next.version.sequence;
+    ++m_result.directories;
+    m_directory = std::make_shared<Directory>(std::move(next));
+    for (size_t i = 0; i < m_instances.size(); ++i) {
+        if (!chance(0.1))
+            giveDirectory(i, chance(0.3) ? between(50, 2000) : between(5, 50));
+    }
+    for (size_t i = 0; i < m_entries.size(); ++i) {
+        if (!chance(0.1))
+            after(chance(0.3) ? between(50, 2000) : between(5, 50),
+                [this, i, directory = m_directory] { m_entries[i].forwarder.install(*directory); });
+    }
+}
+
+void Simulation::giveDirectory(size_t index, Duration delay)
+{
+    Instance& instance = *m_instances[index];
+    if (!m_directory || instance.cutFromControl || instance.cutFromAll)
+        return;
+    after(delay, [this, &instance, directory = m_directory] {
+        if (!instance.cutFromControl && !instance.cutFromAll)
+            feed(instance, DirectoryReceived { directory });
+    });
+}
+
+void Simulation::pollEntry(size_t index)
+{
+    if (m_directory && !chance(0.2))
+        m_entries[index].forwarder.install(*m_directory);
+    after(seconds(1), [this, index] { pollEntry(index); });
+}
+
+// Schedule.
+
+void Simulation::inject(Fault fault)
+{
+    Instance& victim = *m_instances[m_random.below(m_instances.size())];
+    if (victim.gone)
+        return;
+    note("fault " + std::to_string(static_cast<int>(fault)) + " at " + std::to_string(victim.endpoint.address & 0xff));
+    switch (fault) {
+    case Fault::AgentRestart:
+        stopAgent(victim);
+        after(chance(0.7) ? between(50, 1500) : between(1500, 6000), [this, &victim] {
+            if (!victim.agent && !victim.gone)
+                startAgent(victim);
+        });
+        break;
+    case Fault::TargetRestart:
+        victim.targetAlive = false;
+        victim.disturbed = m_clock.now();
+        victim.connections.clear();
+        if (chance(0.5))
+            after(between(20, 200), [this, &victim] {
+                if (!victim.targetAlive)
+                    feed(victim, TargetDown {});
+            });
+        after(between(300, 3000), [this, &victim] {
+            if (!victim.targetAlive && !victim.gone)
+                startTarget(victim);
+        });
+        break;
+    case Fault::Drain:
+        victim.draining = true;
+        feed(victim, TargetDraining {});
+        after(seconds(8), [this, &victim] {
+            victim.draining = false;
+            if (victim.connections.empty() && m_instances.size() > 4 && !m_quiet) {
+                victim.gone = true;
+                victim.targetAlive = false;
+                stopAgent(victim);
+            } else {
+                feed(victim, TargetUp { Incarnation(victim.target) });
+            }
+        });
+        break;
+    case Fault::ControlCut:
+    case Fault::NetworkCut: {
+        bool all = fault == Fault::NetworkCut;
+        (all ? victim.cutFromAll : victim.cutFromControl) = true;
+        victim.disturbed = m_clock.now();
+        after(between(500, 9000), [&victim, all] { (all ? victim.cutFromAll : victim.cutFromControl) = false; });
+        break;
+    }
+    case Fault::Join:
+        addInstance(mainService, { m_nextAddress++, 4000 });
+        break;
+    case Fault::TableBurst: {
+        // The directory changes, whatever the members themselves say, and ends as it was.
+        size_t second = m_random.below(m_instances.size());
+        for (int i = 0; i < 20; ++i) {
+            after(milliseconds(30 * i), [this, &victim, second, i] {
+                Instance& changed = i % 4 < 2 ? victim : *m_instances[second];
+                bool drain = i % 2 == 0;
+                changed.announced.state = drain ? MemberState::Draining : MemberState::Warming;
+                publish();
+            });
+        }
+        break;
+    }
+    case Fault::DataCentreOut:
+        m_dataCentreOut = static_cast<uint16_t>(1 + m_random.below(3));
+        for (const auto& [attempt, holder] : m_holders) {
+            if (m_instances[holder.first]->dataCentre.value() == m_dataCentreOut)
+                m_abandoned.insert(attempt);
+        }
+        publish();
+        after(between(2000, 8000), [this] { m_dataCentreOut = 0; });
+        break;
+    case Fault::Reassign: {
+        size_t serving = 0;
+        for (const auto& instance : m_instances)
+            serving += instance->service == mainService && !instance->gone ? 1 : 0;
+        if (serving < 4 || victim.service != mainService)
+            return;
+        victim.gone = true;
+        victim.targetAlive = false;
+        victim.connections.clear();
+        stopAgent(victim);
+        addInstance(otherService, victim.endpoint);
+        break;
+    }
+    case Fault::LossBurst:
+        m_loss = 0.2;
+        after(seconds(2), [this] { m_loss = m_settings.loss; });
+        break;
+    }
+}
+
+void Simulation::heal()
+{
+    m_quiet = true;
+    m_dataCentreOut = 0;
+    m_loss = m_settings.loss;
+    for (const auto& instance : m_instances) {
+        instance->cutFromControl = instance->cutFromAll = false;
+        if (instance->gone)
+            continue;
+        instance->draining = false;
+        if (!instance->targetAlive)
+            startTarget(*instance);
+        if (!instance->agent)
+            startAgent(*instance);
+    }
+}
+
+SimulationResult Simulation::run()
+{
+    for (size_t i = 0; i < m_settings.agents; ++i)
+        addInstance(mainService, { m_nextAddress++, 4000 });
+    for (size_t i = 0; i < m_settings.entries; ++i) {
+        m_entries.push_back({ MemberId(500 + i), EntryForwarder(MemberId(500 + i), DataCentreId(1)) });
+        after(milliseconds(600), [this, i] { pollEntry(i); });
+    }
+    std::function<void()> publishing = [&] {
+        publish();
+        after(publishInterval, publishing);
+    };
+    after(milliseconds(350), publishing);
+    m_callers.resize(m_settings.callers);
+    for (size_t i = 0; i < m_callers.size(); ++i) {
+        m_callers[i].index = i;
+        schedule(m_callers[i], milliseconds(1500) + between(0, 4000));
+    }
+    for (size_t i = 0; i < m_settings.faults; ++i) {
+        Fault fault = static_cast<Fault>(m_random.below(faultKinds));
+        if (!m_settings.allowed.empty())
+            fault = m_settings.allowed[m_random.below(m_settings.allowed.size())];
+        after(seconds(4) + m_settings.faultTime * m_random.below(1000) / 1000, [this, fault] { inject(fault); });
+    }
+    Time healAt = m_start + seconds(4) + m_settings.faultTime;
+    after(healAt - m_start, [this] { heal(); });
+    Time end = healAt + m_settings.quietTime;
+    while (!m_queue.empty() && m_queue.top().time <= end) {
+        Scheduled next = m_queue.top();
+        m_queue.pop();
+        m_clock.advance(next.time - m_clock.now());
+        (*next.step)();
+    }
+    judge();
+    return std::move(m_result);
+}
+
+} // namespace cicadaward::simulation
--- /dev/null
+++ b/libs/flow/simulation.h
@@ -0,0 +1,156 @@
+// Simulated system for the checks of this library: a control instance, entries, agents with targets, callers and a
+// network that loses, repeats and reorders. It drives the real machines, or baselines, under a seeded schedule of
+// faults and measures them against a model that knows every connection of every target.
+//
+//     SimulationSettings settings;
+//     settings.seed = 42;
+//     SimulationResult result = Simulation(settings).run();
+//     if (result.brokenFlows > 0)
+//         report(result.notes);
+#pragma once
+
+#include "flow/entry_forwarder.h"
+#include "flow/simulation_parts.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cicadaward::simulation {
+
+// Kinds of faults; a schedule draws from them.
+enum class Fault : uint8_t {
+    AgentRestart,
+    TargetRestart,
+    Drain,
+    ControlCut,
+    NetworkCut,
+    Join,
+    TableBurst, // 20 directory changes in a row
+    DataCentreOut,
+    Reassign, // the endpoint goes to an agent of another service
+    LossBurst,
+};
+constexpr size_t faultKinds = 10;
+
+struct SimulationSettings {
+    uint64_t seed = 1;
+    Policy policy = Policy::Machines;
+    size_t agents = 5;
+    size_t entries = 3;
+    size_t callers = 24;
+    uint32_t buckets = 64;
+    uint32_t capacity = 24;
+    double coldShare = 0.25;
+    size_t faults = 8;
+    std::vector<Fault> allowed; // all when empty
+    Duration faultTime = std::chrono::seconds(24); // faults fall into this time
+    Duration quietTime = std::chrono::seconds(26); // without faults; longer than all repeats and leases
+    Duration tick = std::chrono::milliseconds(100);
+    double loss = 0.02;
+    double duplicate = 0.02;
+    Duration meanHold = std::chrono::seconds(20); // of a connection
+    double thinkSeconds = 1; // between two segments of a caller
+    bool trace = false;
+};
+
+struct SimulationResult {
+    uint64_t brokenFlows = 0; // established, and lost although their target had them
+    uint64_t misdelivered = 0;
+    uint64_t overAdmitted = 0; // new connections beyond what the target bore
+    uint64_t splitFlows = 0; // one first packet made two connections
+    uint64_t established = 0; // connections
+    uint64_t refused = 0; // attempts answered with a reset
+    uint64_t endedWithTarget = 0; // established flows whose target or data centre went away
+    uint64_t offered = 0; // segments of flows that nobody knew, given to targets that might
+    uint64_t extraHops = 0;
+    uint64_t deliveries = 0;
+    uint64_t directories = 0;
+    double imbalance = 0; // maximum over mean of connections by capacity, over warm targets, at the end
+    std::vector<std::string> notes; // what happened to each broken flow
+};
+
+class Simulation {
+public:
+    explicit Simulation(const SimulationSettings& settings);
+    SimulationResult run();
+
+private:
+    using Step = std::function<void()>;
+    struct Scheduled {
+        Time time;
+        uint64_t order;
+        std::shared_ptr<Step> step;
+        bool operator<(const Scheduled& o) const { return time != o.time ? time > o.time : order > o.order; }
+    };
+    struct Entry {
+        MemberId id;
+        EntryForwarder forwarder;
+    };
+
+    void after(Duration delay, Step step);
+    Duration between(int lowMs, int highMs);
+    bool chance(double probability) { return m_random.unit() < probability; }
+    void note(const std::string& text);
+
+    // Network and processes.
+    void sendDatagram(const Instance* from, const Endpoint& to, const TunnelHeader& header, Bytes bytes);
+    void carryOut(Instance& instance, Actions& actions);
+    void feed(Instance& instance, const AgentEvent& event);
+    void tick(size_t index);
+    void startAgent(Instance& instance);
+    void stopAgent(Instance& instance);
+    void startTarget(Instance& instance);
+    void addInstance(ServiceId service, Endpoint endpoint);
+
+    // Control.
+    void announce(size_t index);
+    void publish();
+    void giveDirectory(size_t index, Duration delay);
+    void pollEntry(size_t index);
+
+    // Callers and targets.
+    void callerStep(size_t index, uint64_t timer);
+    void sendFromCaller(Caller& caller, TcpFlags flags, const std::string& payload);
+    void toCaller(const std::vector<uint8_t>& bytes);
+    void connect(Caller& caller);
+    void callerReset(Caller& caller);
+    void schedule(Caller& caller, Duration delay);
+    void deliver(Instance& instance, const DeliverPacket& delivery);
+    void openConnection(Instance& instance, const IpPacket& packet);
+    void answer(Instance& instance, const FlowKey& key, TcpFlags flags, uint32_t sequence, uint32_t acknowledgement);
+    Instance* holderOf(uint32_t attempt);
+
+    void inject(Fault fault);
+    void heal();
+    void judge();
+
+    SimulationSettings m_settings;
+    SimulationResult m_result;
+    ManualClock m_clock;
+    Random m_random;
+    std::priority_queue<Scheduled> m_queue;
+    uint64_t m_order = 0;
+    Time m_start;
+    bool m_quiet = false;
+    double m_loss;
+
+    std::vector<std::unique_ptr<Instance>> m_instances;
+    std::map<uint32_t, size_t> m_byAddress; // endpoint address to the instance that now has it
+    std::vector<Entry> m_entries;
+    std::vector<Caller> m_callers;
+    std::map<FlowKey, size_t> m_callerByKey;
+    std::map<uint32_t, std::pair<size_t, uint64_t>> m_holders; // attempt to instance and target incarnation
+    std::shared_ptr<const Directory> m_directory;
+    std::set<uint32_t> m_abandoned; // attempts whose data centre was out while they lived
+    uint16_t m_dataCentreOut = 0;
+    uint32_t m_nextAttempt = 1000;
+    uint64_t m_nextIncarnation = 1;
+    uint32_t m_nextAddress = 0x0a000001;
+};
+
+} // namespace cicadaward::simulation
