--- a/libs/flow/agent_flows.cc
+++ b/libs/flow/agent_flows.cc
@@ -119,7 +119,7 @@
 
     bool AgentMachine::accepts(const TunnelHeader& header)
     {
-        bool out = m_state.directory && m_state.directory->isOut(header.dataCentre);
+        bool out = m_state.isOut(header.dataCentre);
         if (header.service != m_state.settings.service || (out && header.kind != TunnelKind::PeerMessage)) {
             m_state.count(FlowCounter::DroppedForeign);
             return false;
@@ -192,7 +192,7 @@
         MemberId sender = header.sender;
         bool sync = std::holds_alternative<BucketSyncRequest>(message)
             || std::holds_alternative<BucketSyncReply>(message) || std::holds_alternative<BucketSyncStale>(message);
-        if (m_state.directory->isOut(header.dataCentre) && !sync) {
+        if (m_state.isOut(header.dataCentre) && !sync) {
             m_state.count(FlowCounter::DroppedForeign);
             return;
         }
--- a/libs/flow/flow_schedule_test.cc
+++ b/libs/flow/flow_schedule_test.cc
@@ -47,3 +47,23 @@
     // A schedule in which nothing happens would prove nothing.
     CHECK(established > count * 10);
 }
+
+TEST_CASE("targets are balanced at steady state", "[flow][schedules]")
+{
+    SimulationSettings settings;
+    settings.agents = 7;
+    settings.callers = 1400;
+    settings.capacity = 2000;
+    settings.buckets = 1024;
+    settings.coldShare = 1;
+    settings.faults = 0;
+    settings.faultTime = std::chrono::seconds(15);
+    settings.quietTime = std::chrono::seconds(15);
+    settings.meanHold = std::chrono::seconds(15);
+    settings.thinkSeconds = 5;
+    SimulationResult result = Simulation(settings).run();
+    INFO(report(result));
+    CHECK(result.established > 2000);
+    CHECK(result.brokenFlows + result.misdelivered + result.overAdmitted + result.splitFlows == 0);
+    CHECK(result.imbalance <= 1.05);
+}
--- a/libs/flow/holder_sync.cc
+++ b/libs/flow/holder_sync.cc
@@ -172,6 +172,9 @@
     FlowRecord* record = m_state.table.find(flow.key, hash);
     if (record && record->is(FlowRole::held))
         return true;
+    // A copy may be older than what the flow's present holder has reported.
+    if (flow.unverified && record && record->is(FlowRole::owned) && !m_state.isAt(*record, m_state.settings.self))
+        return false;
     if (!record)
         record = m_state.table.insert(flow.key, hash, FlowTable::Purpose::Learned);
     if (!record) {
--- a/libs/flow/owner.cc
+++ b/libs/flow/owner.cc
@@ -60,6 +60,7 @@
     if (reopen) {
         record.sequence = context.packet.tcpSequence;
         record.mark = ++m_opens;
+        record.stamp = m_state.stamp(); // a question now would overtake the packet
     }
     // Only an open flow's caller sends such a segment, so the confirmation was lost.
     if (record.is(FlowRole::opening) && context.packet.flags.ack && !context.packet.flags.syn)
@@ -88,8 +89,6 @@
     }
     if (context.opens()) {
         place(context, 0);
-    } else if (!m_sync.isComplete(context.bucket)) {
-        queue(context);
     } else {
         unknownSegment(context);
     }
@@ -128,7 +127,9 @@
     }
     if (offered || followCopy(context))
         return;
-    if (m_partial[context.bucket.value()] || m_state.isYoung())
+    if (!m_sync.isComplete(context.bucket))
+        queue(context);
+    else if (m_partial[context.bucket.value()] || m_state.isYoung())
         m_state.count(FlowCounter::DroppedUnknown);
     else
         m_state.resetCaller(context.packet);
