--- a/libs/flow/flow_baselines.cc
+++ b/libs/flow/flow_baselines.cc
@@ -37,6 +37,15 @@
     return settings;
 }
 
+// Three members join, so that buckets move and nothing else happens.
+SimulationSettings joinSettings(uint64_t seed)
+{
+    SimulationSettings settings = steadySettings(seed);
+    settings.faults = 3;
+    settings.allowed = { Fault::Join };
+    return settings;
+}
+
 // All targets start cold and more callers come than they bear at first.
 SimulationSettings coldSettings(uint64_t seed)
 {
@@ -81,6 +90,8 @@
     uint64_t steady = std::max<uint64_t>(1, count / 100);
     for (Policy policy : { Policy::Machines, Policy::RandomPlacement, Policy::TwoChoices, Policy::HashOnly })
         report("steady", policy, first, steady, steadySettings);
+    for (Policy policy : { Policy::Machines, Policy::HashOnly, Policy::PreviousOwner })
+        report("join", policy, first, steady, joinSettings);
     for (Policy policy : { Policy::Machines, Policy::RandomPlacement, Policy::TwoChoices, Policy::HashOnly })
         report("cold", policy, first, steady, coldSettings);
     return 0;
