--- /dev/null
+++ b/libs/flow/flow_schedule_test.cc
@@ -0,0 +1,84 @@
+// Random schedules of packets, losses, duplicates, reorderings, restarts, crashes and directory changes against the
+// model. CICADAWARD_FLOW_SCHEDULES sets the number of schedules and CICADAWARD_FLOW_SEED the first seed.
+
+#include "flow/simulation.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <thread>
+
+using namespace cicadaward;
+using namespace cicadaward::simulation;
+
+namespace {
+
+constexpr uint64_t threadCount = 4;
+
+uint64_t setting(const char* name, uint64_t fallback)
+{
+    const char* text = std::getenv(name);
+    return text ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
+std::string report(const SimulationResult& result)
+{
+    std::string text;
+    for (const std::string& note : result.notes)
+        text += "\n  " + note;
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("established flows survive every schedule of faults", "[flow][schedules]")
+{
+    uint64_t count = setting("CICADAWARD_FLOW_SCHEDULES", 2000);
+    uint64_t first = setting("CICADAWARD_FLOW_SEED", 1);
+    // Schedules share nothing, so that threads change the time and not the verdict.
+    std::vector<SimulationResult> results(count);
+    std::vector<std::thread> threads;
+    for (uint64_t offset = 0; offset < threadCount; ++offset) {
+        threads.emplace_back([&results, first, count, offset] {
+            for (uint64_t i = offset; i < count; i += threadCount) {
+                SimulationSettings settings;
+                settings.seed = first + i;
+                settings.trace = count == 1;
+                results[i] = Simulation(settings).run();
+            }
+        });
+    }
+    for (std::thread& thread : threads)
+        thread.join();
+    uint64_t established = 0;
+    for (uint64_t i = 0; i < count; ++i) {
+        const SimulationResult& result = results[i];
+        established += result.established;
+        if (result.brokenFlows + result.misdelivered + result.overAdmitted + result.splitFlows == 0)
+            continue;
+        FAIL_CHECK("seed " << first + i << ": broken_flows " << result.brokenFlows << ", misdelivered "
+                           << result.misdelivered << ", over_admitted " << result.overAdmitted << ", split flows "
+                           << result.splitFlows << report(result));
+    }
+    // A schedule in which nothing happens would prove nothing.
+    CHECK(established > count * 10);
+}
+
+TEST_CASE("targets are balanced at steady state", "[flow][schedules]")
+{
+    SimulationSettings settings;
+    settings.agents = 7;
+    settings.callers = 1400;
+    settings.capacity = 2000;
+    settings.buckets = 1024;
+    settings.coldShare = 1;
+    settings.faults = 0;
+    settings.faultTime = std::chrono::seconds(15);
+    settings.quietTime = std::chrono::seconds(15);
+    settings.meanHold = std::chrono::seconds(15);
+    settings.thinkSeconds = 5;
+    SimulationResult result = Simulation(settings).run();
+    INFO(report(result));
+    CHECK(result.established > 2000);
+    CHECK(result.brokenFlows + result.misdelivered + result.overAdmitted + result.splitFlows == 0);
+    CHECK(result.imbalance <= 1.05);
+}
