--- a/libs/control/control_measurement.cc
+++ b/libs/control/control_measurement.cc
@@ -12,7 +12,7 @@
 #include <cstdlib>
 #include <numeric>
 
-namespace cicadaward {
+namespace cicadaward::control {
 namespace {
 
     using namespace std::chrono_literals;
@@ -286,7 +286,7 @@
     }
 
 } // namespace
-} // namespace cicadaward
+} // namespace cicadaward::control
 
 int main(int argumentCount, char** arguments)
 {
@@ -296,5 +296,5 @@
     if (sizes.empty())
         sizes = { 50, 200, 800, 3020 };
     for (size_t nodes : sizes)
-        cicadaward::measure(std::max<size_t>(nodes, 30), nodes > 1000 ? 3000 : 1000);
+        cicadaward::control::measure(std::max<size_t>(nodes, 30), nodes > 1000 ? 3000 : 1000);
 }
--- a/libs/flow/agent_flows_test.cc
+++ b/libs/flow/agent_flows_test.cc
@@ -7,6 +7,7 @@
 #include <functional>
 
 using namespace cicadaward;
+using namespace cicadaward::flow;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/libs/flow/baseline_agents.cc
+++ b/libs/flow/baseline_agents.cc
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <map>
 
-namespace cicadaward::simulation {
+namespace cicadaward::flow::simulation {
 
 namespace {
 
@@ -219,4 +219,4 @@
     return std::make_unique<MachineNode>(settings, admission, clock, random);
 }
 
-} // namespace cicadaward::simulation
+} // namespace cicadaward::flow::simulation
--- a/libs/flow/flow_baselines.cc
+++ b/libs/flow/flow_baselines.cc
@@ -7,7 +7,8 @@
 #include <cstdlib>
 
 using namespace cicadaward;
-using namespace cicadaward::simulation;
+using namespace cicadaward::flow;
+using namespace cicadaward::flow::simulation;
 
 namespace {
 
--- a/libs/flow/flow_benchmark.cc
+++ b/libs/flow/flow_benchmark.cc
@@ -27,6 +27,7 @@
 void operator delete(void* memory, size_t) noexcept { std::free(memory); }
 
 using namespace cicadaward;
+using namespace cicadaward::flow;
 
 namespace {
 
--- a/libs/flow/flow_schedule_test.cc
+++ b/libs/flow/flow_schedule_test.cc
@@ -8,7 +8,8 @@
 #include <thread>
 
 using namespace cicadaward;
-using namespace cicadaward::simulation;
+using namespace cicadaward::flow;
+using namespace cicadaward::flow::simulation;
 
 namespace {
 
--- a/libs/flow/simulation.cc
+++ b/libs/flow/simulation.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace cicadaward::simulation {
+namespace cicadaward::flow::simulation {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -418,4 +418,4 @@
     return std::move(m_result);
 }
 
-} // namespace cicadaward::simulation
+} // namespace cicadaward::flow::simulation
--- a/libs/flow/simulation.h
+++ b/libs/flow/simulation.h
@@ -20,7 +20,7 @@
 #include <string>
 #include <vector>
 
-namespace cicadaward::simulation {
+namespace cicadaward::flow::simulation {
 
 // Kinds of faults; a schedule draws from them.
 enum class Fault : uint8_t {
@@ -153,4 +153,4 @@
     uint32_t m_nextAddress = 0x0a000001;
 };
 
-} // namespace cicadaward::simulation
+} // namespace cicadaward::flow::simulation
--- a/libs/flow/simulation_callers.cc
+++ b/libs/flow/simulation_callers.cc
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace cicadaward::simulation {
+namespace cicadaward::flow::simulation {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -330,4 +330,4 @@
     m_result.imbalance = sum > 0 ? most * static_cast<double>(targets) / sum : 0;
 }
 
-} // namespace cicadaward::simulation
+} // namespace cicadaward::flow::simulation
--- a/libs/flow/simulation_parts.h
+++ b/libs/flow/simulation_parts.h
@@ -10,7 +10,7 @@
 #include <memory>
 #include <string>
 
-namespace cicadaward::simulation {
+namespace cicadaward::flow::simulation {
 
 constexpr uint32_t serviceAddress = 0x0a640001;
 constexpr uint32_t otherAddress = 0x0a640002;
@@ -84,4 +84,4 @@
     uint64_t timer = 0; // only the newest timer counts
 };
 
-} // namespace cicadaward::simulation
+} // namespace cicadaward::flow::simulation
--- a/libs/request/request_bench.cc
+++ b/libs/request/request_bench.cc
@@ -7,6 +7,7 @@
 #include <malloc.h>
 
 using namespace cicadaward;
+using namespace cicadaward::request;
 
 namespace {
 
--- a/libs/request/request_experiment.cc
+++ b/libs/request/request_experiment.cc
@@ -7,6 +7,7 @@
 #include <iostream>
 
 using namespace cicadaward;
+using namespace cicadaward::request;
 using namespace std::chrono_literals;
 
 namespace {
