Start a control group only once, and hold cold targets at their share

Change: an empty instance starts a group only after every configured peer has said that it belongs to none; coldSeconds in the manifest holds the limit at the cold share; the stand-in ends work at the deadline and counts work after turning cold without warning apart; the publisher's quorum timeout is the election timeout, with the true time of the quorum.

--- a/daemons/agent_packets.cc
+++ b/daemons/agent_packets.cc
@@ -135,7 +135,8 @@
         m_service = ServiceId();
         return;
     }
-    TargetCapacity capacity { service->spec.flowsPerTarget, service->spec.slotsPerTarget, service->spec.coldShare };
+    TargetCapacity capacity { service->spec.flowsPerTarget, service->spec.slotsPerTarget, service->spec.coldShare,
+        std::chrono::seconds(service->spec.coldSeconds) };
     if (!m_flows || m_service != service->id) {
         m_service = service->id;
         m_admission = std::make_unique<TargetAdmission>(DaemonBase::clock(), capacity);
--- a/daemons/agent_requests_duty.cc
+++ b/daemons/agent_requests_duty.cc
@@ -87,6 +87,7 @@
 {
     m_duty.every(std::chrono::milliseconds(10), [this] { handle(request::Tick {}); });
     m_duty.every(settings.duration("target.health-interval-ms"), [this] { pollHealth(); });
+    m_duty.every(std::chrono::milliseconds(100), [this] { checkUnfinished(); });
     m_duty.every(std::chrono::seconds(1), [this] { reportMetrics(); });
 }
 
@@ -247,6 +248,18 @@
     }
 }
 
+// A reader reports a request that was not finished in time only when it is asked.
+void AgentRequestsDuty::checkUnfinished()
+{
+    std::vector<uint64_t> waiting;
+    for (const auto& [id, connection] : m_connections) {
+        if (!connection.busy && connection.reader.buffered() > 0)
+            waiting.push_back(id);
+    }
+    for (uint64_t id : waiting)
+        readRequests(ConnectionId(id));
+}
+
 void AgentRequestsDuty::handle(request::RequestEvent event)
 {
     if (!m_machine)
@@ -310,7 +323,7 @@
 {
     static const char* const names[] = { "answered", "not_run", "unknown", "cancelled", "stale_attempt",
         "partial_answer", "damaged_message", "stale_message", "duplicate_prevented", "conflict", "refused_full",
-        "refused_fenced", "retry", "retry_denied", "answer_dropped", "amnesia_started" };
+        "refused_fenced", "retry", "retry_denied", "answer_dropped", "amnesia_started", "directory_behind" };
     m_base.metrics.counter(std::string("request.") + names[static_cast<size_t>(action.counter)]).add(action.by);
 }
 
--- a/daemons/agent_requests_duty.h
+++ b/daemons/agent_requests_duty.h
@@ -41,6 +41,7 @@
 
     void handleTcp(const TcpEvent&);
     void readRequests(ConnectionId);
+    void checkUnfinished();
     void closeConnection(ConnectionId);
     bool isRefused(const Connection&) const;
 
--- a/daemons/control_decisions.cc
+++ b/daemons/control_decisions.cc
@@ -37,6 +37,9 @@
           [this](DecisionsInput&& input) { std::visit([this](const auto& each) { handleInput(each); }, input); })
 {
     control::ControlInstanceSettings instance;
+    // An older quorum is no quorum: another leader may have been elected since.
+    instance.publisher.quorumTimeout = m_electionTimeout;
+    instance.publisher.grace = settings.duration("control.lease-ms");
     for (const ConfiguredEndpoint& peer : settings.endpoints("control.peers")) {
         control::ControlInstanceId id(static_cast<uint32_t>(m_peers.size()) + 1);
         if (peer.name == m_name) {
@@ -44,12 +47,14 @@
             instance.id = id;
         } else
             instance.others.push_back(id);
-        m_peers.push_back({ peer.name, InstanceId(), Time() });
+        m_peers.emplace_back();
+        m_peers.back().name = peer.name;
     }
     m_instance = std::make_unique<control::ControlInstance>(DaemonBase::clock(), m_random, instance);
     m_duty.every(detail::decisionsTick, [this] { tick(); });
     m_duty.every(std::chrono::seconds(1), [this] {
         sendHellos();
+        bootstrapWhenSafe();
         maintainGroup();
         reportMetrics();
     });
@@ -62,21 +67,49 @@
         return store.status();
     m_store = std::move(*store);
     StoreContents contents = m_store->takeContents();
-    if (m_bootstrap && contents.empty()) {
-        StoreBatch batch = raft::bootstrapBatch({ m_store->instance() });
-        absl::Status status = m_store->write(batch);
-        if (!status.ok())
-            return status;
-        contents.state = batch.state.value_or(HardState {});
-        contents.entries = batch.entries;
-        contents.snapshot = batch.snapshot.value_or(LogSnapshot {});
-    }
     m_peers[m_selfIndex].instance = m_store->instance();
+    createRaft(std::move(contents));
+    return absl::OkStatus();
+}
+
+void ControlDecisions::createRaft(StoreContents contents)
+{
+    contents.instance = m_store->instance();
     raft::RaftOptions options;
     options.electionTimeout = m_electionTimeout;
     options.heartbeatInterval = m_electionTimeout / 6;
     m_raft = std::make_unique<raft::Raft>(options, DaemonBase::clock(), m_random, std::move(contents));
-    return absl::OkStatus();
+}
+
+// When several instances have control.bootstrap, the first name in control.peers starts the group.
+void ControlDecisions::bootstrapWhenSafe()
+{
+    if (!m_bootstrap || m_stopped || m_raft->configuration().size() > 0)
+        return;
+    for (uint32_t i = 0; i < m_peers.size(); ++i) {
+        const Peer& peer = m_peers[i];
+        bool heard = peer.instance != InstanceId() && DaemonBase::clock().now() - peer.heard < detail::helloLifetime;
+        if (i != m_selfIndex && (!heard || peer.inGroup || (peer.bootstrap && i < m_selfIndex)))
+            return;
+    }
+    StoreBatch batch = raft::bootstrapBatch({ m_store->instance() });
+    absl::Status status = m_store->write(batch);
+    if (!status.ok()) {
+        failStore(status);
+        return;
+    }
+    StoreContents contents;
+    contents.state = batch.state.value_or(HardState {});
+    contents.entries = batch.entries;
+    contents.snapshot = batch.snapshot.value_or(LogSnapshot {});
+    createRaft(std::move(contents));
+}
+
+void ControlDecisions::failStore(const absl::Status& status)
+{
+    m_base.log->write(EventId::StoreFailed, { { "reason", std::string(status.message()) } });
+    m_stopped = true;
+    m_failed();
 }
 
 // Hands over leadership before the thread ends, so that a planned stop of the leader costs no election timeout.
@@ -99,7 +132,7 @@
 {
     handle(raft::Tick {});
     if (m_raft->isLeader() && m_raft->canRead())
-        handle(control::QuorumHeard { DaemonBase::clock().now() - m_electionTimeout });
+        handle(control::QuorumHeard { m_raft->quorumTime() });
     handle(control::Tick {});
 }
 
@@ -181,7 +214,10 @@
     return formatMembers(directory ? *directory : Directory {});
 }
 
-std::string ControlDecisions::hello() const { return encodeMessage(Hello { m_name, m_store->instance() }); }
+std::string ControlDecisions::hello() const
+{
+    return encodeMessage(Hello { m_name, m_store->instance(), m_raft->configuration().size() > 0, m_bootstrap });
+}
 
 void ControlDecisions::takeHello(const std::string& payload)
 {
@@ -191,6 +227,8 @@
     for (Peer& peer : m_peers) {
         if (peer.name == hello.name && peer.name != m_name) {
             peer.instance = hello.instance;
+            peer.inGroup = hello.inGroup;
+            peer.bootstrap = hello.bootstrap;
             peer.heard = DaemonBase::clock().now();
         }
     }
@@ -276,9 +314,7 @@
 {
     absl::Status status = m_store->write(action.batch);
     if (!status.ok()) {
-        m_base.log->write(EventId::StoreFailed, { { "reason", std::string(status.message()) } });
-        m_stopped = true;
-        m_failed();
+        failStore(status);
         return;
     }
     handle(raft::Persisted { action.ticket });
--- a/daemons/control_decisions.h
+++ b/daemons/control_decisions.h
@@ -6,6 +6,9 @@
 // leader adds an unknown id of a configured name as a learner, which consensus promotes when it has caught up; an id
 // that no configured name has any longer is removed once every name has a live voter, so that a repaired group has
 // exactly one voter for each name.
+//
+// A group starts only once: an instance with control.bootstrap and an empty disk waits until every configured peer has
+// said that it belongs to no group, so an instance that has lost its disk cannot start a second group.
 #pragma once
 
 #include "control/control_instance.h"
@@ -24,8 +27,10 @@
 struct Hello {
     std::string name;
     InstanceId instance;
+    bool inGroup = false; // its disk belongs to a group
+    bool bootstrap = false; // its settings say control.bootstrap
 
-    MSGPACK_DEFINE_ARRAY(name, instance)
+    MSGPACK_DEFINE_ARRAY(name, instance, inGroup, bootstrap)
 };
 
 class ControlDecisions {
@@ -46,6 +51,8 @@
     struct Peer {
         std::string name;
         InstanceId instance; // zero while unknown
+        bool inGroup = false;
+        bool bootstrap = false;
         Time heard;
     };
 
@@ -76,6 +83,9 @@
     void tick();
     void sendHellos();
     void maintainGroup();
+    void bootstrapWhenSafe();
+    void createRaft(StoreContents);
+    void failStore(const absl::Status&);
     void takeSnapshot();
     void reportMetrics();
     void adminRead(const AdminCall&);
--- a/libs/admission/adaptive_limit.cc
+++ b/libs/admission/adaptive_limit.cc
@@ -25,6 +25,7 @@
     , m_capacity(capacity)
     , m_coldLimit(detail::share(capacity, coldShare))
     , m_limit(m_coldLimit)
+    , m_coldSince(clock.now())
     , m_lastShrink(clock.now() - settings.shrinkInterval)
     , m_lastGood(clock.now() - settings.hintLifetime)
 {
@@ -73,6 +74,7 @@
     m_badInRow = 0;
     m_hint = 1;
     m_limit = m_coldLimit;
+    m_coldSince = m_clock.now();
     m_lastGood = m_clock.now() - m_settings.hintLifetime;
     startRound();
 }
@@ -97,6 +99,10 @@
 {
     if (m_limit >= m_capacity)
         return;
+    if (m_clock.now() - m_coldSince < m_coldTime) {
+        startRound();
+        return;
+    }
     uint32_t needed = std::max(detail::leastAnswersPerRound, m_limit / 8);
     if (m_goodInRound < needed || m_clock.now() - m_roundStart < m_settings.growInterval)
         return;
@@ -117,6 +123,7 @@
 {
     m_badInRow = 0;
     m_limit = std::min(m_limit, m_coldLimit);
+    m_coldSince = m_clock.now();
 }
 
 void AdaptiveLimit::startRound()
--- a/libs/admission/adaptive_limit.h
+++ b/libs/admission/adaptive_limit.h
@@ -47,6 +47,9 @@
     // Nothing in use, cold limit.
     void restart();
     void setCapacity(uint32_t capacity, double coldShare);
+    // Shortest time at the cold limit after restart(): the stated length of a cold start, which light work does not
+    // show.
+    void setColdTime(Duration coldTime) { m_coldTime = coldTime; }
 
     uint32_t limit() const; // with the hint applied
     uint32_t inUse() const { return m_inUse; }
@@ -69,6 +72,8 @@
     uint32_t m_goodInRound = 0;
     uint32_t m_badInRow = 0;
     double m_hint = 1;
+    Duration m_coldTime {};
+    Time m_coldSince;
     Time m_roundStart;
     Time m_lastShrink;
     Time m_lastGood;
--- a/libs/admission/admission_test.cc
+++ b/libs/admission/admission_test.cc
@@ -163,3 +163,24 @@
         }
     }
 }
+
+TEST_CASE("good answers do not raise the limit before the stated cold time has passed", "[admission]")
+{
+    // Guards against over-admission to a target whose light work is fast while it is cold.
+    ManualClock clock;
+    AdaptiveLimit limit(clock, 400, 0.1, {});
+    limit.setColdTime(std::chrono::seconds(6));
+    limit.restart();
+    for (int i = 0; i < 59; ++i) {
+        clock.advance(std::chrono::milliseconds(100));
+        for (int j = 0; j < 20; ++j)
+            limit.observe(Outcome::Completed, std::chrono::milliseconds(5));
+        REQUIRE(limit.limit() == 40);
+    }
+    for (int i = 0; i < 20; ++i) {
+        clock.advance(std::chrono::milliseconds(100));
+        for (int j = 0; j < 20; ++j)
+            limit.observe(Outcome::Completed, std::chrono::milliseconds(5));
+    }
+    CHECK(limit.limit() > 40);
+}
--- a/libs/directory/codec.h
+++ b/libs/directory/codec.h
@@ -86,8 +86,8 @@
         CICADAWARD_CODEC(
             cicadaward::FlowKey, 5, v.sourceAddress, v.destinationAddress, v.sourcePort, v.destinationPort, v.protocol)
         CICADAWARD_CODEC(cicadaward::PortSpec, 3, v.port, v.protocol, v.mode)
-        CICADAWARD_CODEC(cicadaward::ServiceSpec, 7, v.name, v.address, v.ports, v.buckets, v.slotsPerTarget,
-            v.flowsPerTarget, v.coldShare)
+        CICADAWARD_CODEC(cicadaward::ServiceSpec, 8, v.name, v.address, v.ports, v.buckets, v.slotsPerTarget,
+            v.flowsPerTarget, v.coldShare, v.coldSeconds)
         CICADAWARD_CODEC(cicadaward::Service, 2, v.id, v.spec)
         CICADAWARD_CODEC(cicadaward::DataCentre, 3, v.id, v.name, v.out)
         CICADAWARD_CODEC(cicadaward::Member, 10, v.id, v.name, v.role, v.state, v.service, v.dataCentre, v.tunnel,
--- a/libs/directory/manifest.cc
+++ b/libs/directory/manifest.cc
@@ -138,8 +138,9 @@
         ServiceSpec readService(const Json& json, const std::string& path)
         {
             ServiceSpec service;
-            checkKeys(
-                json, path, { "name", "address", "ports", "buckets", "slotsPerTarget", "flowsPerTarget", "coldShare" });
+            checkKeys(json, path,
+                { "name", "address", "ports", "buckets", "slotsPerTarget", "flowsPerTarget", "coldShare",
+                    "coldSeconds" });
             service.name = text(json, path, "name");
             if (!parseAddress(text(json, path, "address"), service.address))
                 add(join(path, "address"), "must be an IPv4 address");
@@ -155,6 +156,8 @@
                 = static_cast<uint32_t>(numberOr(json, path, "slotsPerTarget", 1, 65536, service.slotsPerTarget));
             service.flowsPerTarget
                 = static_cast<uint32_t>(numberOr(json, path, "flowsPerTarget", 1, 1U << 24, service.flowsPerTarget));
+            service.coldSeconds
+                = static_cast<uint32_t>(numberOr(json, path, "coldSeconds", 0, 3600, service.coldSeconds));
             if (const Json* share = find(json, path, "coldShare", false)) {
                 if (share->is_number() && share->get<double>() > 0 && share->get<double>() <= 1)
                     service.coldShare = share->get<double>();
@@ -249,7 +252,8 @@
         }
         json["services"].push_back({ { "name", service.name }, { "address", formatAddress(service.address) },
             { "ports", ports }, { "buckets", service.buckets }, { "slotsPerTarget", service.slotsPerTarget },
-            { "flowsPerTarget", service.flowsPerTarget }, { "coldShare", service.coldShare } });
+            { "flowsPerTarget", service.flowsPerTarget }, { "coldShare", service.coldShare },
+            { "coldSeconds", service.coldSeconds } });
     }
     return json.dump(2) + "\n";
 }
--- a/libs/directory/manifest.h
+++ b/libs/directory/manifest.h
@@ -12,7 +12,8 @@
 //       "services": [ { "name": "sequencer", "address": "10.100.0.1",
 //                       "ports": [ { "port": 7000, "protocol": "tcp", "mode": "flow" },
 //                                  { "port": 8080, "protocol": "tcp", "mode": "request" } ],
-//                       "buckets": 1024, "slotsPerTarget": 5, "flowsPerTarget": 2000, "coldShare": 0.1 } ] }
+//                       "buckets": 1024, "slotsPerTarget": 5, "flowsPerTarget": 2000, "coldShare": 0.1,
+//                       "coldSeconds": 30 } ] }
 #pragma once
 
 #include "core/findings.h"
@@ -44,6 +45,7 @@
     uint32_t slotsPerTarget = 1; // requests that a warm target runs at the same time
     uint32_t flowsPerTarget = 2000; // open flows that a warm target bears
     double coldShare = 0.1; // share of the above that a cold target bears, in (0, 1]
+    uint32_t coldSeconds = 0; // shortest time that a target stays cold after a start; afterwards its answers decide
 };
 
 struct DataCentreSpec {
--- a/libs/raft/raft.h
+++ b/libs/raft/raft.h
@@ -93,6 +93,9 @@
     // The answer holds for now(); ask again for every use.
     bool canRead() const;
 
+    // Leader only: send time of the oldest of the newest messages that a quorum has answered.
+    Time quorumTime() const;
+
     InstanceId self() const { return m_self; }
     bool isLeader() const { return m_role == RaftRole::Leader; }
     const Configuration& configuration() const { return m_log.configuration(); }
@@ -166,7 +169,6 @@
     void sendChunk(InstanceId id, Peer& peer);
     void heartbeat();
     void advanceCommit();
-    Time quorumTime() const;
     bool hasQuorum() const;
     uint64_t stamp() const;
 
--- a/tools/request_callers.cc
+++ b/tools/request_callers.cc
@@ -171,6 +171,7 @@
         finish(*attempt, RequestWord::Unknown);
     else if (word == "not-run") {
         attempt->lastWord = RequestWord::NotRun;
+        ++m_records[attempt->id].toldNotRun;
         failAttempt(attempt);
     } else {
         ++m_counts.badAnswers;
@@ -195,7 +196,8 @@
 void RequestCallers::finish(Attempt& attempt, RequestWord word)
 {
     m_byConnection.erase(attempt.connection.value());
-    m_endpoint.close(attempt.connection);
+    // A reset instead of a close: thousands of connections in TIME_WAIT slow the stand-in's own TCP stack down.
+    m_endpoint.abort(attempt.connection);
     RequestRecord& record = m_records[attempt.id];
     record.word = word;
     record.latency = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - attempt.started);
--- a/tools/request_callers.h
+++ b/tools/request_callers.h
@@ -38,6 +38,7 @@
     bool repeatable = false;
     RequestWord word = RequestWord::None;
     uint32_t attempts = 0;
+    uint32_t toldNotRun = 0; // attempts that were answered "not run"
     std::chrono::milliseconds latency { 0 }; // of the whole request
     int64_t startedAt = 0; // ms since the start of the run
 };
--- a/tools/target.cc
+++ b/tools/target.cc
@@ -71,7 +71,7 @@
         if (m_state == "draining")
             ++m_counts.opensWhileDraining;
         if (static_cast<double>(m_flows.size()) > m_options.flows * share())
-            ++m_counts.overAdmittedFlows;
+            countOverAdmitted(m_counts.overAdmittedFlows);
     }
     TcpFlags flags;
     flags.syn = true;
@@ -110,8 +110,18 @@
 {
     if (query == "state=draining" || query == "state=ok")
         m_state = query.substr(6);
-    else if (query == "cold=1")
+    else if (query == "cold=1") {
         m_warmAt = m_clock.now() + m_options.coldTime;
+        m_turnedCold = true;
+    }
+}
+
+void Target::countOverAdmitted(uint64_t& count)
+{
+    if (isCold() && m_turnedCold)
+        ++m_counts.overAdmittedAfterTurn;
+    else
+        ++count;
 }
 
 void Target::run(const HttpRequest& request, HttpReply reply)
@@ -125,14 +135,26 @@
     double bearable = std::max(1.0, m_options.slots * share());
     auto work = m_options.workTime;
     if (m_running > bearable) {
-        ++m_counts.overAdmittedRequests;
+        countOverAdmitted(m_counts.overAdmittedRequests);
         work *= 10; // an overloaded target slows down for everybody
     }
+    auto deadline = request.find("Request-Timeout-Ms");
+    bool late = false;
+    if (deadline != request.end()) {
+        std::chrono::milliseconds remaining(std::strtol(std::string(deadline->value()).c_str(), nullptr, 10));
+        late = work > remaining;
+        work = std::min(work, remaining);
+    }
     auto timer = std::make_shared<boost::asio::steady_timer>(m_context, work);
-    timer->async_wait([this, timer, id, body = request.body(), reply = std::move(reply)](boost::system::error_code) {
-        --m_running;
-        reply(200, "text/plain", m_options.name + " " + id + " " + body);
-    });
+    timer->async_wait(
+        [this, timer, id, late, body = request.body(), reply = std::move(reply)](boost::system::error_code) {
+            --m_running;
+            if (late) {
+                reply(504, "text/plain", "past the deadline\n");
+                return;
+            }
+            reply(200, "text/plain", m_options.name + " " + id + " " + body);
+        });
 }
 
 std::string Target::stats() const
@@ -141,7 +163,8 @@
         { "flows_opened", m_counts.flowsOpened }, { "packets", m_counts.packets },
         { "misdelivered", m_counts.misdelivered }, { "unknown_flow_packets", m_counts.unknownFlowPackets },
         { "over_admitted_flows", m_counts.overAdmittedFlows },
-        { "over_admitted_requests", m_counts.overAdmittedRequests }, { "requests_run", m_counts.requestsRun },
+        { "over_admitted_requests", m_counts.overAdmittedRequests },
+        { "over_admitted_after_turn", m_counts.overAdmittedAfterTurn }, { "requests_run", m_counts.requestsRun },
         { "opens_while_draining", m_counts.opensWhileDraining }, { "last_packet_ms", m_counts.lastPacketAt },
         { "cold", isCold() } };
     return json.dump();
--- a/tools/target.h
+++ b/tools/target.h
@@ -3,7 +3,8 @@
 //
 // Packets: a SYN opens a flow, each data segment is answered with the target's name, FIN and RST close it, and a
 // segment of an unknown flow is answered with a reset, as a host does. Requests: the body is answered as "NAME ID BODY"
-// after the work time; each start is written to the run log before the work, so that a kill loses no count.
+// after the work time, which ends at the deadline of the request; each start is written to the run log before the work,
+// so that a kill loses no count.
 //
 // HTTP paths for the driver: /health (incarnation, state), /stats (counts), /control?state=ok|draining&cold=1&lie=1.
 #pragma once
@@ -49,6 +50,7 @@
         uint64_t unknownFlowPackets = 0;
         uint64_t overAdmittedFlows = 0;
         uint64_t overAdmittedRequests = 0;
+        uint64_t overAdmittedAfterTurn = 0; // while cold after turning cold without warning: nobody could know at first
         uint64_t requestsRun = 0;
         uint64_t opensWhileDraining = 0;
         uint64_t lastPacketAt = 0; // ms since 1970
@@ -60,6 +62,7 @@
     void handleHttp(const HttpRequest&, HttpReply);
     void handleControl(const std::string& query);
     void run(const HttpRequest&, HttpReply);
+    void countOverAdmitted(uint64_t& count);
     bool isCold() const;
     double share() const { return isCold() ? m_options.coldShare : 1; }
     std::string stats() const;
@@ -68,6 +71,7 @@
     const Clock& m_clock;
     TargetOptions m_options;
     Time m_warmAt;
+    bool m_turnedCold = false;
     std::string m_state = "ok";
     Counts m_counts;
     absl::flat_hash_map<FlowKey, uint32_t> m_flows; // next expected sequence
--- a/tools/topology.cc
+++ b/tools/topology.cc
@@ -188,6 +188,7 @@
         service.slotsPerTarget = plan.slots;
         service.flowsPerTarget = plan.flowsPerTarget;
         service.coldShare = plan.coldShare;
+        service.coldSeconds = static_cast<uint32_t>((plan.coldMs + 999) / 1000);
         manifest.services.push_back(service);
     }
     return manifest;
