Add cicadawardctl and complete the administration API

Cause: operators had only raw HTTP calls, the promised ?replaces was not read, wrong methods and sizes had no answer of their own, and text that is not UTF-8 in the Operator header or a data centre name made the JSON library throw in the decisions thread.

The API gets /v1/events, /v1/history, 400, 404, 405 and 413 with a JSON "error", names of instances in the status, and replaces bytes that are not UTF-8. tests/ctl_test runs all of it against real processes.

--- /dev/null
+++ b/ctl/admin_client.cc
@@ -0,0 +1,136 @@
+#include "admin_client.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+
+namespace cicadaward {
+
+namespace detail {
+
+    // An instance gives up on a change after 5 s, so its own answer is waited for.
+    constexpr Duration changeLimit = std::chrono::seconds(6);
+    constexpr Duration readLimit = std::chrono::seconds(2);
+    constexpr Duration roundPause = std::chrono::milliseconds(200);
+
+    const char* describe(HttpFailure failure)
+    {
+        static const char* const texts[] = { "connection refused", "not connected", "connection broken", "no answer" };
+        return texts[static_cast<size_t>(failure)];
+    }
+
+} // namespace detail
+
+AdminClient::AdminClient(const std::vector<Endpoint>& instances, std::string token, std::string who, Duration timeout)
+    : m_token(std::move(token))
+    , m_who(std::move(who))
+    , m_deadline(m_clock.now() + timeout)
+{
+    for (const Endpoint& endpoint : instances) {
+        m_instances.push_back({ formatAddress(endpoint.address) + ":" + std::to_string(endpoint.port),
+            std::make_unique<HttpClient>(m_context, endpoint, 1) });
+    }
+}
+
+Duration AdminClient::remaining() const { return std::max(m_deadline - m_clock.now(), Duration(0)); }
+
+HttpClientRequest AdminClient::request(AdminVerb verb, const std::string& target, const std::string& body) const
+{
+    namespace http = boost::beast::http;
+    HttpClientRequest request(verb == AdminVerb::Get ? http::verb::get : http::verb::post, target, 11);
+    request.set(http::field::host, "control");
+    request.set(http::field::authorization, "Bearer " + m_token);
+    if (!m_who.empty())
+        request.set("Operator", m_who);
+    if (verb == AdminVerb::Post)
+        request.set(http::field::content_type, "application/json");
+    request.body() = body;
+    request.prepare_payload();
+    return request;
+}
+
+void AdminClient::send(
+    Instance& instance, HttpClientRequest request, Duration limit, AdminResponse& response, size_t& open)
+{
+    ++open;
+    response.instance = instance.name;
+    instance.client->send(++m_lastCall, std::move(request), limit, [&response, &open](uint64_t, HttpResult result) {
+        --open;
+        if (auto* answer = std::get_if<HttpClientResponse>(&result)) {
+            response.status = answer->result_int();
+            response.body = std::move(answer->body());
+        } else
+            response.body = detail::describe(std::get<HttpFailure>(result));
+    });
+}
+
+// Each call has a time limit, so this ends.
+void AdminClient::runUntilDone(const size_t& open)
+{
+    m_context.restart();
+    while (open > 0 && m_context.run_one() > 0) { }
+}
+
+AdminResponse AdminClient::call(AdminVerb verb, const std::string& target, const std::string& body)
+{
+    Duration limit = verb == AdminVerb::Get ? detail::readLimit : detail::changeLimit;
+    AdminResponse last;
+    do {
+        for (Instance& instance : m_instances) {
+            Duration rest = remaining();
+            if (rest == Duration(0))
+                return last;
+            AdminResponse response;
+            size_t open = 0;
+            send(instance, request(verb, target, body), std::min(limit, rest), response, open);
+            runUntilDone(open);
+            if (response.status != 0 && response.status != 503 && response.status != 504)
+                return response;
+            // An instance that says why it cannot decide tells more than one that does not answer.
+            if (response.status != 0 || last.status == 0)
+                last = response;
+        }
+    } while (pause(detail::roundPause));
+    return last;
+}
+
+std::vector<AdminResponse> AdminClient::callAll(const std::string& target)
+{
+    std::vector<AdminResponse> responses(m_instances.size());
+    size_t open = 0;
+    Duration limit = std::max<Duration>(std::min(detail::readLimit, remaining()), std::chrono::milliseconds(1));
+    for (size_t i = 0; i < m_instances.size(); ++i)
+        send(m_instances[i], request(AdminVerb::Get, target, ""), limit, responses[i], open);
+    runUntilDone(open);
+    return responses;
+}
+
+bool AdminClient::pause(Duration duration)
+{
+    boost::asio::steady_timer timer(m_context, std::min(duration, remaining()));
+    bool over = false;
+    timer.async_wait([&](boost::system::error_code) { over = true; });
+    m_context.restart();
+    while (!over && m_context.run_one() > 0) { }
+    return remaining() > Duration(0);
+}
+
+std::string percentEncode(const std::string& text)
+{
+    static const char digits[] = "0123456789ABCDEF";
+    std::string result;
+    for (char c : text) {
+        auto byte = static_cast<unsigned char>(c);
+        bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_'
+            || c == '.' || c == '~';
+        if (plain) {
+            result += c;
+            continue;
+        }
+        result += '%';
+        result += digits[byte >> 4];
+        result += digits[byte & 15];
+    }
+    return result;
+}
+
+} // namespace cicadaward
--- /dev/null
+++ b/ctl/epoch_wait.h
@@ -0,0 +1,28 @@
+// Waits until every live process acts on an epoch.
+//
+// Only the leader knows what all processes have acknowledged. A new leader has an empty membership until one lease has
+// passed and publishes no directory before, so its count is used only when the published directory is of its own term.
+#pragma once
+
+#include "admin_client.h"
+
+#include <string>
+#include <vector>
+
+namespace cicadaward {
+
+struct EpochWait {
+    bool done = false;
+    uint64_t members = 0;
+    uint64_t behindCount = 0;
+    std::vector<std::string> behind; // at most 64 names
+    std::string trouble; // why the count is not known; empty otherwise
+};
+
+EpochWait waitForEpoch(AdminClient& client, uint64_t epoch);
+
+// Status of the leader among the answers of all instances, or of the first instance that answered when there is no
+// leader; null when nobody answered with status 200.
+const AdminResponse* leaderStatus(const std::vector<AdminResponse>& responses);
+
+} // namespace cicadaward
--- a/daemons/control_daemon.cc
+++ b/daemons/control_daemon.cc
@@ -1,5 +1,7 @@
 #include "control_daemon.h"
 
+#include "control_admin.h"
+
 #include <csignal>
 #include <fstream>
 #include <openssl/crypto.h>
@@ -44,9 +46,10 @@
         m_status = absl::InvalidArgumentError("admin.listen needs admin.token-file");
         return;
     }
+    keepRecentEvents();
     m_status = detail::readToken(settings.path("admin.token-file"), m_token);
     m_server = std::make_unique<HttpServer>(m_admin.context(), toEndpoint(settings.endpoint("admin.listen")),
-        [this](const HttpRequest& request, HttpReply reply) { handleAdmin(request, std::move(reply)); });
+        [this](const HttpRequest& request, const HttpReply& reply) { handleAdmin(request, reply); });
 }
 
 ControlDaemon::~ControlDaemon() { stop(); }
@@ -80,26 +83,46 @@
         && CRYPTO_memcmp(field->value().data(), expected.data(), expected.size()) == 0;
 }
 
-void ControlDaemon::handleAdmin(const HttpRequest& request, HttpReply reply)
+void ControlDaemon::handleAdmin(const HttpRequest& request, const HttpReply& reply)
 {
     if (!isAuthorized(request)) {
         m_base.log->write(EventId::AdminRefused, { { "reason", "wrong or missing token" } });
         reply(401, "application/json", R"({"error":"wrong or missing bearer token"})");
         return;
     }
-    std::string path(request.target().data(), request.target().size());
-    if (path == "/v1/metrics") {
+    AdminCall call;
+    call.method = std::string(request.method_string());
+    call.path = std::string(request.target());
+    unsigned status = checkAdminRequest(call.method, call.path);
+    if (status != 200) {
+        const char* reason = status == 404 ? "no such path" : status == 405 ? "wrong method" : "damaged target";
+        reply(status, "application/json", formatError(reason));
+        return;
+    }
+    if (request.body().size() > maxManifestSize) {
+        reply(413, "application/json",
+            formatError("the body is larger than " + std::to_string(maxManifestSize) + " bytes"));
+        return;
+    }
+    AdminTarget target;
+    parseAdminTarget(call.path, target);
+    if (target.path.back() == "metrics") {
         reply(200, "application/json", m_base.metrics.json());
         return;
     }
+    if (target.path.back() == "events") {
+        uint64_t limit = 0;
+        if (queryNumber(target, "limit", 512, 50, limit))
+            reply(200, "application/json", recentEvents(limit));
+        else
+            reply(400, "application/json", formatError("\"limit\" must be from 1 to 512"));
+        return;
+    }
     if (m_adminCalls.size() >= detail::maxAdminCalls) {
         reply(503, "application/json", R"({"error":"too many open calls"})");
         return;
     }
-    AdminCall call;
     call.call = ++m_lastCall;
-    call.method = std::string(request.method_string());
-    call.path = path;
     call.body = request.body();
     auto who = request.find("Operator");
     call.who = who == request.end() ? "" : std::string(who->value().substr(0, 128));
--- a/daemons/control_daemon.h
+++ b/daemons/control_daemon.h
@@ -18,7 +18,7 @@
     void stop();
 
 private:
-    void handleAdmin(const HttpRequest&, HttpReply);
+    void handleAdmin(const HttpRequest&, const HttpReply&);
     void answerAdmin(const AdminAnswer&);
     bool isAuthorized(const HttpRequest&) const;
 
--- a/daemons/control_decisions.cc
+++ b/daemons/control_decisions.cc
@@ -144,35 +144,46 @@
         takeHello(reply.payload);
 }
 
+// The path and the method were checked by the administration thread.
 void ControlDecisions::handleInput(const AdminCall& call)
 {
     if (call.method == "GET")
         adminRead(call);
-    else if (!adminChange(call))
-        m_toAdmin({ call.call, 404, R"({"error":"no such path"})" });
+    else
+        adminChange(call);
 }
 
 void ControlDecisions::adminRead(const AdminCall& call)
 {
-    if (call.path == "/v1/members")
+    AdminTarget target;
+    parseAdminTarget(call.path, target);
+    const std::string& name = target.path.back();
+    uint64_t limit = 0;
+    if (name == "members")
         m_toAdmin({ call.call, 200, membersJson() });
-    else if (call.path == "/v1/manifest")
+    else if (name == "manifest")
         m_toAdmin({ call.call, 200, formatManifest(m_instance->manifests().manifest()) });
-    else if (call.path == "/v1/status") {
+    else if (name == "status") {
         m_calls[++m_lastRequest] = { call.call, detail::adminPath };
         handle(control::StatusReceived { control::RequestId(m_lastRequest) });
-    } else
-        m_toAdmin({ call.call, 404, R"({"error":"no such path"})" });
+    } else if (name != "history")
+        m_toAdmin({ call.call, 404, formatError("no such path") });
+    else if (queryNumber(target, "limit", control::ManifestRegister::maxHistory, 50, limit))
+        m_toAdmin({ call.call, 200, formatHistory(m_instance->manifests(), limit) });
+    else
+        m_toAdmin({ call.call, 400, formatError("\"limit\" must be from 1 to 1024") });
 }
 
-bool ControlDecisions::adminChange(const AdminCall& call)
+void ControlDecisions::adminChange(const AdminCall& call)
 {
     control::ManifestCommand command;
-    if (!parseAdminChange(call, command))
-        return false;
+    std::string error;
+    if (!parseAdminChange(call, command, error)) {
+        m_toAdmin({ call.call, 400, formatError(error) });
+        return;
+    }
     m_calls[++m_lastRequest] = { call.call, detail::adminPath };
     handle(control::CommandReceived { control::RequestId(m_lastRequest), std::move(command) });
-    return true;
 }
 
 std::string ControlDecisions::membersJson() const
@@ -390,7 +401,10 @@
         m_toAdmin({ call, adminStatus(result->outcome), formatResult(*result) });
     } else if (auto* status = std::get_if<control::StatusReply>(&answer)) {
         std::string leader = status->leader.value() == 0 ? "" : m_peers[status->leader.value() - 1].name;
-        m_toAdmin({ call, 200, formatStatus(m_name, leader, *status, m_raft->status()) });
+        m_toAdmin({ call, 200, formatStatus(m_name, leader, *status, m_raft->status(), [this](InstanceId id) {
+                       uint32_t index = peerIndex(id);
+                       return index < m_peers.size() ? m_peers[index].name : "";
+                   }) });
     }
 }
 
--- a/daemons/control_decisions.h
+++ b/daemons/control_decisions.h
@@ -79,7 +79,7 @@
     void takeSnapshot();
     void reportMetrics();
     void adminRead(const AdminCall&);
-    bool adminChange(const AdminCall&);
+    void adminChange(const AdminCall&);
     std::string membersJson() const;
 
     control::ControlInstanceId controlId(InstanceId) const;
