--- a/ctl/admin_client.cc
+++ b/ctl/admin_client.cc
@@ -104,6 +104,12 @@
     return responses;
 }
 
+void AdminClient::prefer(const std::string& instance)
+{
+    std::stable_partition(
+        m_instances.begin(), m_instances.end(), [&](const Instance& candidate) { return candidate.name == instance; });
+}
+
 bool AdminClient::pause(Duration duration)
 {
     boost::asio::steady_timer timer(m_context, std::min(duration, remaining()));
--- a/ctl/admin_client.h
+++ b/ctl/admin_client.h
@@ -35,6 +35,9 @@
     // One try at each instance, all at the same time.
     std::vector<AdminResponse> callAll(const std::string& target);
 
+    // Makes the instance with this name the first that is tried.
+    void prefer(const std::string& instance);
+
     // Runs the event loop for `duration`, at most until the time is over. Returns false when it is.
     bool pause(Duration duration);
 
--- a/ctl/commands.cc
+++ b/ctl/commands.cc
@@ -163,6 +163,18 @@
     return true;
 }
 
+bool Commands::readCurrent(const std::string& target, std::string& body)
+{
+    std::vector<AdminResponse> responses = m_client.callAll("/v1/status");
+    if (const AdminResponse* found = leaderStatus(responses)) {
+        m_client.prefer(found->instance);
+        if (!isLeaderStatus(*found))
+            m_err << "no instance that answers leads with a quorum; " << found->instance
+                  << " answers, and its view may be old\n";
+    }
+    return read(target, body);
+}
+
 CtlExit Commands::diff()
 {
     std::string text;
@@ -170,7 +182,7 @@
     if (!readManifest(text, wanted))
         return CtlExit::Usage;
     std::string body;
-    if (!read("/v1/manifest", body))
+    if (!readCurrent("/v1/manifest", body))
         return CtlExit::Refused;
     Findings findings;
     // Before the first manifest the answer has version 0, which is no valid manifest.
@@ -198,7 +210,7 @@
 CtlExit Commands::show()
 {
     std::string body;
-    if (!read("/v1/manifest", body))
+    if (!readCurrent("/v1/manifest", body))
         return CtlExit::Refused;
     Findings findings;
     std::optional<Manifest> manifest = parseManifest("answer", body, findings);
@@ -261,7 +273,7 @@
 CtlExit Commands::members()
 {
     std::string body;
-    if (!read("/v1/members", body))
+    if (!readCurrent("/v1/members", body))
         return CtlExit::Refused;
     if (m_options.json)
         m_out << body << "\n";
@@ -274,7 +286,7 @@
 CtlExit Commands::history()
 {
     std::string body;
-    if (!read("/v1/history?limit=" + std::to_string(m_options.limit), body))
+    if (!readCurrent("/v1/history?limit=" + std::to_string(m_options.limit), body))
         return CtlExit::Refused;
     if (m_options.json)
         m_out << body << "\n";
--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -29,8 +29,11 @@
     bool readManifest(std::string& text, Manifest& manifest);
     CtlExit change(const std::string& target, const std::string& body);
     CtlExit finishChange(const std::string& body);
-    // Returns false, with the reason printed, unless the status is 200.
+    // Both return false, with the reason printed, unless the status is 200.
     bool read(const std::string& target, std::string& body);
+    // From the leader, because a follower may be behind and an instance with a new disk knows nothing; without a
+    // leader, from the instance with the highest epoch, with a warning.
+    bool readCurrent(const std::string& target, std::string& body);
     CtlExit refuse(const AdminResponse& response);
 
     const CtlOptions& m_options;
--- a/ctl/epoch_wait.cc
+++ b/ctl/epoch_wait.cc
@@ -37,10 +37,15 @@
 
 } // namespace detail
 
+bool isLeaderStatus(const AdminResponse& response)
+{
+    return response.status == 200 && detail::isLeaderWithQuorum(detail::Json::parse(response.body, nullptr, false));
+}
+
 const AdminResponse* leaderStatus(const std::vector<AdminResponse>& responses)
 {
     const AdminResponse* found = nullptr;
-    uint64_t foundTerm = 0;
+    std::pair<uint64_t, uint64_t> foundRank; // term of a leader, epoch
     for (const AdminResponse& response : responses) {
         if (response.status != 200)
             continue;
@@ -48,9 +53,10 @@
         if (!status.is_object())
             continue;
         uint64_t term = detail::isLeaderWithQuorum(status) ? status.value("term", uint64_t(0)) : 0;
-        if (!found || term > foundTerm) {
+        std::pair<uint64_t, uint64_t> rank { term, status.value("epoch", uint64_t(0)) };
+        if (!found || rank > foundRank) {
             found = &response;
-            foundTerm = term;
+            foundRank = rank;
         }
     }
     return found;
--- a/ctl/epoch_wait.h
+++ b/ctl/epoch_wait.h
@@ -21,8 +21,11 @@
 
 EpochWait waitForEpoch(AdminClient& client, uint64_t epoch);
 
-// Status of the leader among the answers of all instances, or of the first instance that answered when there is no
-// leader; null when nobody answered with status 200.
+// True for the status of a leader with a quorum.
+bool isLeaderStatus(const AdminResponse& response);
+
+// Status of the leader among the answers of all instances, or the one with the highest epoch when there is no leader;
+// null when nobody answered with status 200.
 const AdminResponse* leaderStatus(const std::vector<AdminResponse>& responses);
 
 } // namespace cicadaward
--- a/tests/ctl_group_test.cc
+++ b/tests/ctl_group_test.cc
@@ -142,6 +142,27 @@
     CHECK(group.apply(2, 1).code == 0);
 }
 
+// Guards against reading the manifest from an instance that knows nothing.
+TEST_CASE("without a quorum, show asks the instance that knows most", "[ctl]")
+{
+    Three group(23170);
+    REQUIRE(group.apply(1, 0).code == 0);
+    REQUIRE(waitUntil([&] { return group.statusOf(1)["manifestVersion"] == 1; }));
+    for (int lost : { 2, 3 }) {
+        group.instance(lost).kill();
+        group.emptyDataFolder(lost);
+    }
+    for (int lost : { 2, 3 }) {
+        group.instance(lost).start();
+        REQUIRE(waitUntil([&] { return group.statusOf(lost).is_object(); }));
+    }
+    REQUIRE(waitUntil([&] { return group.leader() == 0; }));
+    ProgramResult shown = group.run("cicadawardctl", group.ctlArguments({ 2, 3, 1 }, { "--json", "show" }));
+    CHECK(shown.code == 0);
+    CHECK(Json::parse(shown.out)["version"] == 1);
+    CHECK(shown.err.find("may be old") != std::string::npos);
+}
+
 // Guards against a --wait that reports success while a live process has not acted, or that names nobody.
 TEST_CASE("--wait names the processes that do not act", "[ctl]")
 {
