Add a fault-injecting proxy for control links and packets

Cause: experiments could only freeze or kill processes. A silent partition, a one-way cut, a half-open TCP peer and a network that loses, duplicates or reorders packets were not tested.

With `[topology] proxied = true` it carries fabric to entry, agent to fabric, agent to the target's HTTP server, and all links to control instances. The tunnel between entries and agents does not pass the proxy, because `listen.tunnel` is both the bound and the announced endpoint.

--- a/tools/bench_main.cc
+++ b/tools/bench_main.cc
@@ -97,5 +97,6 @@
     plan->topology.basePort = basePort;
     if (seed != 0)
         plan->seed = seed;
+    plan->topology.seed = plan->seed;
     return runExperiment(*plan, values.count("json") > 0);
 }
--- a/tools/experiment.cc
+++ b/tools/experiment.cc
@@ -36,6 +36,7 @@
             m_endpoint->input(data, size);
         });
     m_status = m_fabric->status();
+    m_status.Update(m_topology.status());
     m_fabric->setEntries(m_topology.entryEndpoints());
     for (uint32_t i = 0; i < detail::requestAddresses; ++i)
         m_callerAddresses.push_back(detail::firstRequestAddress + i);
--- a/tools/experiment.h
+++ b/tools/experiment.h
@@ -40,6 +40,10 @@
     void tick();
     void perform(const PlannedEvent&);
     void performOnProcess(const PlannedEvent&);
+    void performOnLinks(const PlannedEvent&);
+    void performOnProcessLinks(const std::string& action, const std::string& process);
+    void performOnBorder(const std::string& dataCentre, bool cut);
+    void findLeader(int tries, const std::function<void(std::string)>& done);
     void killLeader();
     void race();
 
@@ -85,6 +89,8 @@
     uint64_t m_manifestVersion = 0;
     std::vector<std::string> m_out; // data centres
     std::set<std::string> m_killed; // targets
+    std::set<std::string> m_cutDataCentres;
+    PacketFaults m_packetFaults;
     Time m_start;
     bool m_running = false;
     std::deque<std::pair<Time, std::function<void()>>> m_scheduled;
--- a/tools/experiment_events.cc
+++ b/tools/experiment_events.cc
@@ -33,6 +33,8 @@
         killLeader();
     else if (event.action == "race")
         race();
+    else if (isLinkEvent(event.action))
+        performOnLinks(event);
     else
         performOnProcess(event);
 }
@@ -88,7 +90,8 @@
 {
     std::set<std::string> excused = m_killed;
     for (const TargetPlace& target : m_topology.targets()) {
-        if (std::find(m_out.begin(), m_out.end(), target.dataCentre) != m_out.end())
+        if (std::find(m_out.begin(), m_out.end(), target.dataCentre) != m_out.end()
+            || m_cutDataCentres.count(target.dataCentre) > 0)
             excused.insert(target.name);
     }
     for (auto& feeds : m_feeds)
@@ -142,18 +145,6 @@
     }
 }
 
-void Experiment::killLeader()
-{
-    post("/v1/status", "", 20, [this](unsigned, const std::string& text) {
-        auto json = nlohmann::json::parse(text, nullptr, false);
-        m_leader = json.is_object() ? json.value("leader", "") : "";
-        if (Process* process = m_topology.find(m_leader))
-            process->kill();
-        else
-            m_status = absl::NotFoundError("the status names no leader: " + text);
-    });
-}
-
 // Two operators send manifests of equal version and different content at the same moment: exactly one may win.
 void Experiment::race()
 {
--- a/tools/plan.cc
+++ b/tools/plan.cc
@@ -13,7 +13,10 @@
     using Tree = boost::property_tree::ptree;
 
     const std::set<std::string> eventActions = { "data-centre-out", "data-centre-in", "drain", "undrain", "turn-cold",
-        "kill", "start", "stop", "freeze", "resume", "kill-leader", "race" };
+        "kill", "start", "stop", "freeze", "resume", "kill-leader", "race", "cut", "cut-in", "cut-out", "heal",
+        "cut-data-centre", "heal-data-centre", "loss", "duplication", "reordering", "delay" };
+    const std::set<std::string> faultActions = { "cut", "cut-in", "cut-out", "heal", "cut-data-centre",
+        "heal-data-centre", "loss", "duplication", "reordering", "delay" };
 
     std::vector<std::string> splitList(const std::string& text)
     {
@@ -57,6 +60,19 @@
             [](const PlannedEvent& a, const PlannedEvent& b) { return a.seconds < b.seconds; });
     }
 
+    Duration readMilliseconds(const Tree& tree, const char* key)
+    {
+        std::chrono::duration<double, std::milli> value(tree.get(key, 0.0));
+        return std::chrono::duration_cast<Duration>(value);
+    }
+
+    void readProxy(const Tree& tree, ExperimentPlan& plan)
+    {
+        plan.topology.proxied = tree.get("topology.proxied", false);
+        plan.topology.delays.betweenDataCentres = readMilliseconds(tree, "topology.delay-between-ms");
+        plan.topology.delays.toCallers = readMilliseconds(tree, "topology.delay-callers-ms");
+    }
+
     void readGoals(const Tree& tree, const std::string& file, ExperimentPlan& plan, Findings& findings)
     {
         for (const auto& [key, value] : tree) {
@@ -70,6 +86,8 @@
 
 } // namespace detail
 
+bool isLinkEvent(const std::string& action) { return detail::faultActions.count(action) > 0; }
+
 std::optional<ExperimentPlan> loadPlan(const std::string& file, Findings& findings)
 {
     detail::Tree tree;
@@ -90,6 +108,7 @@
     plan.topology.entries = tree.get("topology.entries", plan.topology.entries);
     plan.topology.controls = tree.get("topology.controls", plan.topology.controls);
     plan.topology.announceMs = tree.get("topology.announce-ms", plan.topology.announceMs);
+    detail::readProxy(tree, plan);
     for (const auto& [section, values] : tree) {
         if (boost::starts_with(section, "service."))
             plan.topology.services.push_back(detail::readService(section.substr(8), values, file, findings));
@@ -100,6 +119,10 @@
         else if (section != "experiment" && section != "topology")
             findings.add({ file, 0, section }, "unknown section");
     }
+    bool needsProxy = std::any_of(
+        plan.events.begin(), plan.events.end(), [](const PlannedEvent& event) { return isLinkEvent(event.action); });
+    if (needsProxy && !plan.topology.proxied)
+        findings.add({ file, 0, "topology.proxied" }, "must be true for events on links");
     if (plan.topology.services.empty())
         findings.add({ file, 0, "" }, "names no service");
     if (!findings.empty())
--- a/tools/topology.cc
+++ b/tools/topology.cc
@@ -31,6 +31,8 @@
     boost::filesystem::create_directories(m_plan.runFolder);
     detail::writePrivateFile(m_plan.runFolder + "/keys", "1 000102030405060708090a0b0c0d0e0f\n");
     detail::writePrivateFile(m_plan.runFolder + "/token", "experiment-token\n");
+    if (m_plan.proxied)
+        m_proxy = std::make_unique<FaultProxy>(m_plan.seed, m_plan.delays);
     m_fabricReturn = nextEndpoint();
     planControls();
     planEntries();
@@ -42,6 +44,34 @@
 
 Endpoint Topology::nextEndpoint() { return { detail::loopback, m_nextPort++ }; }
 
+Endpoint Topology::through(const Link& link, Endpoint target)
+{
+    if (!m_proxy)
+        return target;
+    Endpoint listen = nextEndpoint();
+    m_proxy->add(link, listen, target);
+    return listen;
+}
+
+std::string Topology::controlDataCentre(int number) const
+{
+    return m_plan.dataCentres[static_cast<size_t>(number - 1) % m_plan.dataCentres.size()];
+}
+
+// "ip:port, ..." or "name=ip:port, ..."; a control instance reaches itself directly.
+std::string Topology::controlPeersOf(const std::string& name, const std::string& dataCentre, bool named)
+{
+    std::string peers;
+    for (int i = 1; i <= m_plan.controls; ++i) {
+        std::string control = "control-" + std::to_string(i);
+        Endpoint endpoint = m_controlStreams[static_cast<size_t>(i - 1)];
+        if (control != name)
+            endpoint = through({ LinkKind::Control, name, dataCentre, control, controlDataCentre(i) }, endpoint);
+        peers += (i == 1 ? "" : ", ") + (named ? control + "=" : "") + formatEndpoint(endpoint);
+    }
+    return peers;
+}
+
 std::string Topology::adminToken() const { return "experiment-token"; }
 
 void Topology::add(const std::string& name, const std::string& program, std::vector<std::string> arguments)
@@ -65,7 +95,7 @@
     tree.put("instance.data-centre", dataCentre);
     tree.put("instance.id-key-file", m_plan.runFolder + "/keys");
     if (withControl) {
-        tree.put("control.peers", m_controlPeers);
+        tree.put("control.peers", controlPeersOf(name, dataCentre, false));
         tree.put("control.announce-interval-ms", m_plan.announceMs);
         tree.put("control.lease-ms", 3 * m_plan.announceMs);
         tree.put("admin.listen", formatEndpoint(nextEndpoint()));
@@ -76,22 +106,17 @@
 
 void Topology::planControls()
 {
-    for (int i = 1; i <= m_plan.controls; ++i) {
+    for (int i = 1; i <= m_plan.controls; ++i)
         m_controlStreams.push_back(nextEndpoint());
-        std::string separator = i == 1 ? "" : ", ";
-        m_controlPeers += separator + formatEndpoint(m_controlStreams.back());
-        m_namedControlPeers
-            += separator + "control-" + std::to_string(i) + "=" + formatEndpoint(m_controlStreams.back());
-    }
     for (int i = 1; i <= m_plan.controls; ++i) {
         std::string name = "control-" + std::to_string(i);
         m_admin[name] = nextEndpoint();
-        std::string dataCentre = m_plan.dataCentres[static_cast<size_t>(i - 1) % m_plan.dataCentres.size()];
+        std::string dataCentre = controlDataCentre(i);
         Tree tree = instanceSettings(name, dataCentre, false);
         tree.put("listen.peers", formatEndpoint(m_controlStreams[static_cast<size_t>(i - 1)]));
         tree.put("admin.listen", formatEndpoint(m_admin[name]));
         tree.put("admin.token-file", m_plan.runFolder + "/token");
-        tree.put("control.peers", m_namedControlPeers);
+        tree.put("control.peers", controlPeersOf(name, dataCentre, true));
         tree.put("control.bootstrap", i == 1 ? "true" : "false");
         tree.put("control.lease-ms", 3 * m_plan.announceMs);
         tree.put("data.folder", m_plan.runFolder + "/" + name + "-data");
@@ -104,10 +129,11 @@
     for (int i = 1; i <= m_plan.entries; ++i) {
         std::string name = "entry-" + std::to_string(i);
         std::string dataCentre = m_plan.dataCentres[static_cast<size_t>(i - 1) % m_plan.dataCentres.size()];
-        m_entryEndpoints[name] = nextEndpoint();
+        Endpoint fabric = nextEndpoint();
+        m_entryEndpoints[name] = through({ LinkKind::Packets, "fabric", "", name, dataCentre }, fabric);
         m_entryDataCentres[name] = dataCentre;
         Tree tree = instanceSettings(name, dataCentre, true);
-        tree.put("listen.fabric", formatEndpoint(m_entryEndpoints[name]));
+        tree.put("listen.fabric", formatEndpoint(fabric));
         tree.put("listen.tunnel", formatEndpoint(nextEndpoint()));
         addDaemon(name, "cicadaward-entry", tree);
     }
@@ -134,15 +160,20 @@
     Tree tree = instanceSettings(agent, place.dataCentre, true);
     tree.put("listen.tunnel", formatEndpoint(place.tunnel));
     tree.put("listen.target", formatEndpoint(fromTarget));
-    tree.put("fabric.return", formatEndpoint(m_fabricReturn));
+    tree.put("fabric.return",
+        formatEndpoint(through({ LinkKind::Packets, agent, place.dataCentre, "fabric", "" }, m_fabricReturn)));
     tree.put("service.name", service.name);
     tree.put("target.packets", formatEndpoint(packets));
-    tree.put("target.http", formatEndpoint(place.http));
+    tree.put("target.http",
+        formatEndpoint(
+            through({ LinkKind::TargetHttp, agent, place.dataCentre, place.name, place.dataCentre }, place.http)));
     addDaemon(agent, "cicadaward-agent", tree);
 }
 
 void Topology::start()
 {
+    if (m_proxy)
+        m_proxy->start();
     for (auto& [name, process] : m_processes)
         process->start();
 }
--- a/tools/topology.h
+++ b/tools/topology.h
@@ -2,10 +2,15 @@
 //
 // Names: entries entry-1..., control instances control-1..., targets SERVICE-1... with an agent SERVICE-1-agent each.
 // Data centres are filled in turn. All processes listen on the loopback address; ports count up from basePort.
+//
+// With `proxied`, these links pass the fault-injecting proxy: fabric to entry, agent to fabric, agent to its target's
+// HTTP server, and each entry, agent and control instance to each control instance. The tunnel between entries and
+// agents does not: `listen.tunnel` is both the bound and the announced endpoint.
 #pragma once
 
 #include "core/findings.h"
 #include "directory/manifest.h"
+#include "fault_proxy.h"
 #include "net/udp_port.h"
 #include "process.h"
 
@@ -40,6 +45,9 @@
     std::string programs; // folder of the daemons
     std::string runFolder; // settings, logs, data
     int announceMs = 1000;
+    bool proxied = false; // all links between processes pass the fault-injecting proxy
+    LinkDelays delays; // of the proxied links
+    uint64_t seed = 1; // of the proxy's decisions
 };
 
 struct TargetPlace {
@@ -63,6 +71,7 @@
     Process* find(const std::string& name);
     const std::vector<TargetPlace>& targets() const { return m_targets; }
     std::vector<Endpoint> entryEndpoints() const;
+    // Where the fabric sends packets for this entry.
     Endpoint entryEndpoint(const std::string& name) const { return m_entryEndpoints.at(name); }
     std::vector<std::string> controlNames() const;
     Endpoint admin(const std::string& control) const { return m_admin.at(control); }
@@ -72,11 +81,18 @@
 
     Manifest manifest(uint64_t version, uint64_t replaces, const std::vector<std::string>& out) const;
     const TopologyPlan& plan() const { return m_plan; }
+    // Null unless the plan is proxied.
+    FaultProxy* proxy() { return m_proxy.get(); }
+    absl::Status status() const { return m_proxy ? m_proxy->status() : absl::OkStatus(); }
 
 private:
     using Tree = boost::property_tree::ptree;
 
     Endpoint nextEndpoint();
+    // Endpoint that the `from` side of the link uses to reach `target`.
+    Endpoint through(const Link&, Endpoint target);
+    std::string controlPeersOf(const std::string& name, const std::string& dataCentre, bool named);
+    std::string controlDataCentre(int number) const;
     void add(const std::string& name, const std::string& program, std::vector<std::string> arguments);
     void addDaemon(const std::string& name, const std::string& program, const Tree& settings);
     void planControls();
@@ -92,9 +108,8 @@
     std::map<std::string, Endpoint> m_entryEndpoints;
     std::map<std::string, std::string> m_entryDataCentres;
     std::map<std::string, Endpoint> m_admin;
-    std::string m_controlPeers; // "ip:port, ..."
-    std::string m_namedControlPeers; // "name=ip:port, ..."
     std::vector<Endpoint> m_controlStreams;
+    std::unique_ptr<FaultProxy> m_proxy;
 };
 
 std::string formatEndpoint(Endpoint);
