--- a/tools/experiment_faults.cc
+++ b/tools/experiment_faults.cc
@@ -27,6 +27,7 @@
     search->waiting = m_topology.controlNames().size();
     for (const std::string& name : m_topology.controlNames()) {
         HttpClientRequest request(boost::beast::http::verb::get, "/v1/status", 11);
+        request.set(boost::beast::http::field::authorization, "Bearer " + m_topology.adminToken());
         request.set(boost::beast::http::field::host, name);
         auto answered = [this, search, tries, done](uint64_t, HttpResult result) {
             auto* response = std::get_if<HttpClientResponse>(&result);
