--- a/daemons/control_decisions.cc
+++ b/daemons/control_decisions.cc
@@ -108,6 +108,7 @@
 void ControlDecisions::failStore(const absl::Status& status)
 {
     m_base.log->write(EventId::StoreFailed, { { "reason", std::string(status.message()) } });
+    m_base.failed = true;
     m_stopped = true;
     m_failed();
 }
--- a/daemons/daemon.h
+++ b/daemons/daemon.h
@@ -15,6 +15,7 @@
 #include "observe/metrics.h"
 #include "settings/settings.h"
 
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -64,6 +65,7 @@
     MetricRegistry metrics;
     Incarnation process; // milliseconds since 1970 at the start
     uint64_t seed; // of the random sources, different in each process
+    std::atomic<bool> failed { false }; // the stop was caused by a failure: exit code 1
 };
 
 Endpoint toEndpoint(const ConfiguredEndpoint&);
--- a/daemons/daemon_main.h
+++ b/daemons/daemon_main.h
@@ -33,7 +33,7 @@
         waiter.done();
     });
     base->log->write(EventId::Stopped, {});
-    return static_cast<int>(ExitCode::Ok);
+    return static_cast<int>(base->failed ? ExitCode::Failed : ExitCode::Ok);
 }
 
 } // namespace cicadaward
--- a/libs/control/directory_publisher.cc
+++ b/libs/control/directory_publisher.cc
@@ -17,8 +17,11 @@
         directory->dataCentres = manifests.dataCentres();
         directory->services = manifests.services();
         absl::flat_hash_map<std::string, ServiceId> services;
-        for (const Service& service : directory->services)
+        absl::flat_hash_map<ServiceId, uint32_t> capacities;
+        for (const Service& service : directory->services) {
             services[service.spec.name] = service.id;
+            capacities[service.id] = service.spec.flowsPerTarget;
+        }
         absl::flat_hash_map<std::string, DataCentreId> dataCentres;
         for (const DataCentre& dataCentre : directory->dataCentres)
             dataCentres[dataCentre.name] = dataCentre.id;
@@ -39,6 +42,9 @@
             member.dataCentre = dataCentre->second;
             member.tunnel = record.tunnel;
             member.capacity = record.capacity;
+            // An agent that states no capacity of its own has that of its service.
+            if (member.capacity == 0 && record.role == MemberRole::Agent)
+                member.capacity = capacities[service->second];
             member.process = record.process;
             member.target = record.target;
             directory->members.push_back(std::move(member));
--- a/tools/target_main.cc
+++ b/tools/target_main.cc
@@ -33,6 +33,7 @@
     po::options_description description("cicadaward-target, a stand-in target for experiments");
     auto add = description.add_options();
     add("help", "print this text");
+    add("version", "print the version");
     add("name", po::value(&options.name)->required(), "name in answers and counts");
     add("address", po::value(&address)->required(), "address of the service");
     add("packets", po::value(&packets)->required(), "ip:port for packets from the agent");
@@ -52,6 +53,10 @@
             std::cout << description;
             return 0;
         }
+        if (values.count("version") > 0) {
+            std::cout << "cicadaward-target " << CICADAWARD_VERSION << "\n";
+            return 0;
+        }
         po::notify(values);
     } catch (const po::error& error) {
         std::cerr << error.what() << "\n";
