--- a/tools/experiment_measures.cc
+++ b/tools/experiment_measures.cc
@@ -48,6 +48,7 @@
         total.retransmissions += counts.retransmissions;
         for (const auto& [reason, count] : counts.brokenBy)
             total.brokenBy[reason] += count;
+        total.firstBroken.insert(total.firstBroken.end(), counts.firstBroken.begin(), counts.firstBroken.end());
     }
     json["experiment"] = m_plan.name;
     json["seed"] = m_plan.seed;
@@ -60,6 +61,8 @@
     json["feed_retransmissions"] = total.retransmissions;
     if (!total.brokenBy.empty())
         json["broken_by"] = total.brokenBy;
+    if (!total.firstBroken.empty())
+        json["first_broken"] = total.firstBroken;
     uint64_t misdelivered = 0;
     uint64_t overAdmitted = 0;
     uint64_t opensWhileDraining = 0;
--- a/tools/feed_callers.cc
+++ b/tools/feed_callers.cc
@@ -6,6 +6,8 @@
 
     constexpr uint32_t portsPerAddress = 60000;
     constexpr uint16_t firstPort = 2000;
+    constexpr size_t maxBrokenNotes = 20;
+    constexpr int64_t millisecondsPerDay = 86'400'000;
     const char* const segmentBody = "feed request";
 
 } // namespace detail
@@ -14,7 +16,7 @@
     const Clock& clock, Random& random, FeedOptions options, std::function<void(const uint8_t*, size_t)> send)
     : m_clock(clock)
     , m_random(random)
-    , m_options(std::move(options))
+    , m_options(options)
     , m_send(std::move(send))
     , m_flows(m_options.flows)
 {
@@ -95,6 +97,7 @@
     else {
         ++m_counts.broken;
         ++m_counts.brokenBy[std::string(reason) + " " + flow.target];
+        noteBroken(flow, reason);
     }
     flow.state = State::Idle;
     flow.waiting = false;
@@ -103,6 +106,18 @@
     flow.nextAction = m_clock.now() + backoff;
 }
 
+void FeedCallers::noteBroken(const Flow& flow, const char* reason)
+{
+    if (m_counts.firstBroken.size() >= detail::maxBrokenNotes)
+        return;
+    int64_t millisecond = m_clock.wallTime().count() % detail::millisecondsPerDay;
+    char text[128];
+    snprintf(text, sizeof(text), "%02d:%02d:%06.3f %s:%u repetition %u %s ", static_cast<int>(millisecond / 3'600'000),
+        static_cast<int>(millisecond / 60'000 % 60), static_cast<double>(millisecond % 60'000) / 1000,
+        formatAddress(flow.key.sourceAddress).c_str(), flow.key.sourcePort, flow.repetitions, reason);
+    m_counts.firstBroken.push_back(text + flow.target);
+}
+
 void FeedCallers::handlePacket(const IpPacket& packet, const uint8_t* data)
 {
     FlowKey key;
--- a/tools/feed_callers.h
+++ b/tools/feed_callers.h
@@ -37,6 +37,7 @@
     uint64_t answers = 0;
     uint64_t retransmissions = 0;
     std::map<std::string, uint64_t> brokenBy; // reason -> count
+    std::vector<std::string> firstBroken; // time of day (UTC, as in the logs), flow, reason, target; at most 20
 };
 
 class FeedCallers {
@@ -79,6 +80,7 @@
     void sendSegment(Flow&);
     void repeat(Flow&);
     void end(Flow&, const char* reason);
+    void noteBroken(const Flow&, const char* reason);
     void handleOpen(Flow&, const IpPacket&, const uint8_t* data);
 
     const Clock& m_clock;
