--- a/daemons/agent_daemon.cc
+++ b/daemons/agent_daemon.cc
@@ -23,10 +23,10 @@
           [this](ControlInput&& input) { std::visit([this](const auto& each) { handleInput(each); }, input); })
     , m_packets(
           base, m_drops, settings, [this](RequestsInput&& input) { m_requests.fromPackets(std::move(input)); },
-          [this](ControlInput&& input) { m_fromPackets.push(std::move(input)); })
+          [this](const ControlInput& input) { m_fromPackets.push(ControlInput(input)); })
     , m_requests(
           base, settings, [this](PacketsInput&& input) { m_packets.fromRequests(std::move(input)); },
-          [this](ControlInput&& input) { m_fromRequests.push(std::move(input)); },
+          [this](const ControlInput& input) { m_fromRequests.push(ControlInput(input)); },
           [this](const uint8_t* packet, size_t size) { m_packets.fromEndpoint(packet, size); })
 {
     m_link = std::make_unique<ControlLink>(
--- a/daemons/agent_packets.cc
+++ b/daemons/agent_packets.cc
@@ -16,7 +16,7 @@
 } // namespace detail
 
 AgentPackets::AgentPackets(DaemonBase& base, DropLog& drops, const Settings& settings,
-    std::function<void(RequestsInput&&)> toRequests, std::function<void(ControlInput&&)> toControl)
+    std::function<void(RequestsInput&&)> toRequests, std::function<void(const ControlInput&)> toControl)
     : m_base(base)
     , m_drops(drops)
     , m_serviceName(settings.text("service.name"))
--- a/daemons/agent_packets.h
+++ b/daemons/agent_packets.h
@@ -21,7 +21,7 @@
 public:
     // `toRequests` and `toControl` are called on the packets thread.
     AgentPackets(DaemonBase&, DropLog&, const Settings&, std::function<void(RequestsInput&&)> toRequests,
-        std::function<void(ControlInput&&)> toControl);
+        std::function<void(const ControlInput&)> toControl);
 
     absl::Status status() const;
     void start() { m_duty.start(); }
@@ -72,7 +72,7 @@
     std::chrono::milliseconds m_lease;
     std::chrono::milliseconds m_isolation;
     std::function<void(RequestsInput&&)> m_toRequests;
-    std::function<void(ControlInput&&)> m_toControl;
+    std::function<void(const ControlInput&)> m_toControl;
 
     Duty m_duty;
     Random m_random;
@@ -89,7 +89,6 @@
     flow::Actions m_actions;
     std::shared_ptr<TcpEndpoint> m_endpoint;
     uint32_t m_reportedSlots = UINT32_MAX;
-    bool m_reportedDown = true;
     Time m_otherDataCentreNoted;
     absl::flat_hash_map<uint64_t, Time> m_noticed; // entries that were told of a newer directory
     std::vector<uint8_t> m_buffer;
--- a/daemons/agent_requests_duty.cc
+++ b/daemons/agent_requests_duty.cc
@@ -64,7 +64,7 @@
 }
 
 AgentRequestsDuty::AgentRequestsDuty(DaemonBase& base, const Settings& settings,
-    std::function<void(PacketsInput&&)> toPackets, std::function<void(ControlInput&&)> toControl,
+    std::function<void(PacketsInput&&)> toPackets, std::function<void(const ControlInput&)> toControl,
     TcpEndpoint::Output endpointOutput)
     : m_base(base)
     , m_serviceName(settings.text("service.name"))
--- a/daemons/agent_requests_duty.h
+++ b/daemons/agent_requests_duty.h
@@ -19,7 +19,7 @@
 public:
     // `toPackets` and `toControl` are called on the requests thread, `endpointOutput` with the TCP stack's lock held.
     AgentRequestsDuty(DaemonBase&, const Settings&, std::function<void(PacketsInput&&)> toPackets,
-        std::function<void(ControlInput&&)> toControl, TcpEndpoint::Output endpointOutput);
+        std::function<void(const ControlInput&)> toControl, TcpEndpoint::Output endpointOutput);
     ~AgentRequestsDuty();
 
     void start() { m_duty.start(); }
@@ -75,7 +75,7 @@
     size_t m_maxRequests;
     request::HttpLimits m_httpLimits;
     std::function<void(PacketsInput&&)> m_toPackets;
-    std::function<void(ControlInput&&)> m_toControl;
+    std::function<void(const ControlInput&)> m_toControl;
     TcpEndpoint::Output m_endpointOutput;
 
     Duty m_duty;
--- a/daemons/control_link.cc
+++ b/daemons/control_link.cc
@@ -30,7 +30,7 @@
 }
 
 ControlLink::ControlLink(DaemonBase& base, const std::vector<ConfiguredEndpoint>& instances,
-    control::ControlClientSettings settings, boost::asio::io_context& context, ControlLinkHandlers handlers)
+    const control::ControlClientSettings& settings, boost::asio::io_context& context, ControlLinkHandlers handlers)
     : m_base(base)
     , m_self(control::memberIdOf(settings.record.name))
     , m_random(base.seed)
--- a/daemons/control_link.h
+++ b/daemons/control_link.h
@@ -26,7 +26,7 @@
 
 class ControlLink {
 public:
-    ControlLink(DaemonBase&, const std::vector<ConfiguredEndpoint>& instances, control::ControlClientSettings,
+    ControlLink(DaemonBase&, const std::vector<ConfiguredEndpoint>& instances, const control::ControlClientSettings&,
         boost::asio::io_context&, ControlLinkHandlers);
 
     void tick() { perform(m_client.handle(control::ClientTick {})); }
--- a/daemons/control_network.cc
+++ b/daemons/control_network.cc
@@ -30,8 +30,8 @@
     Endpoint listen = toEndpoint(settings.endpoint("listen.peers"));
     m_server = std::make_unique<StreamServer>(m_duty.context(),
         boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4(listen.address), listen.port),
-        [this](const std::string& path, std::string body, StreamReply reply) {
-            handleRequest(path, std::move(body), std::move(reply));
+        [this](const std::string& path, std::string body, const StreamReply& reply) {
+            handleRequest(path, std::move(body), reply);
         });
     for (const ConfiguredEndpoint& peer : settings.endpoints("control.peers")) {
         m_peers.emplace_back();
@@ -51,7 +51,7 @@
     return status;
 }
 
-void ControlNetwork::handleRequest(const std::string& path, std::string body, StreamReply reply)
+void ControlNetwork::handleRequest(const std::string& path, std::string body, const StreamReply& reply)
 {
     CallReceived call;
     uint64_t sequence = 0;
--- a/daemons/control_network.h
+++ b/daemons/control_network.h
@@ -27,7 +27,7 @@
     bool push(NetworkInput&& input) { return m_input.push(std::move(input)); }
 
 private:
-    void handleRequest(const std::string& path, std::string body, StreamReply reply);
+    void handleRequest(const std::string& path, std::string body, const StreamReply& reply);
     void handleInput(const ReplyToCall&);
     void handleInput(const PostToPeer&);
     void reportMetrics();
--- a/libs/net/tcp_endpoint.cc
+++ b/libs/net/tcp_endpoint.cc
@@ -340,7 +340,7 @@
     uint64_t m_lastId = 0;
 };
 
-TcpEndpoint::TcpEndpoint(std::vector<uint32_t> addresses, Output output, Events events)
+TcpEndpoint::TcpEndpoint(const std::vector<uint32_t>& addresses, Output output, Events events)
     : m_implementation(std::make_unique<Implementation>(addresses, std::move(output), std::move(events)))
 {
 }
--- a/libs/net/tcp_endpoint.h
+++ b/libs/net/tcp_endpoint.h
@@ -51,7 +51,7 @@
     using Events = std::function<void(TcpEvent&&)>;
 
     // `addresses`: the local IPv4 addresses, at least one. The first one is the source of connect() by default.
-    TcpEndpoint(std::vector<uint32_t> addresses, Output output, Events events);
+    TcpEndpoint(const std::vector<uint32_t>& addresses, Output output, Events events);
     ~TcpEndpoint();
 
     TcpEndpoint(const TcpEndpoint&) = delete;
--- a/tools/experiment.cc
+++ b/tools/experiment.cc
@@ -11,8 +11,6 @@
     constexpr uint32_t firstFeedAddress = 0x0a010000; // 10.1.0.0
     constexpr uint32_t firstRequestAddress = 0x0a020001; // 10.2.0.1
     constexpr uint32_t requestAddresses = 8;
-    // How long a killed target's flows may still end after the target is back: callers notice at the latest by then.
-    constexpr auto excuseTime = std::chrono::seconds(3);
 
 } // namespace detail
 
@@ -106,7 +104,7 @@
 
 // Asks the control instances in turn until one answers with anything but "try another one" (503).
 void Experiment::post(
-    const std::string& path, const std::string& body, int tries, std::function<void(unsigned, std::string)> done)
+    const std::string& path, const std::string& body, int tries, const std::function<void(unsigned, std::string)>& done)
 {
     auto names = m_topology.controlNames();
     std::string name = names[static_cast<size_t>(tries) % names.size()];
@@ -128,7 +126,7 @@
         });
 }
 
-void Experiment::ask(const std::string& name, const std::string& path, std::function<void(std::string)> done)
+void Experiment::ask(const std::string& name, const std::string& path, const std::function<void(std::string)>& done)
 {
     Endpoint endpoint;
     for (const TargetPlace& target : m_topology.targets()) {
@@ -143,7 +141,7 @@
     });
 }
 
-void Experiment::applyManifest(std::function<void()> done)
+void Experiment::applyManifest(const std::function<void()>& done)
 {
     uint64_t version = m_manifestVersion + 1;
     Manifest manifest = m_topology.manifest(version, m_manifestVersion, m_out);
@@ -159,7 +157,7 @@
         });
 }
 
-void Experiment::waitForMembers(size_t expected, Time deadline, std::function<void()> done)
+void Experiment::waitForMembers(size_t expected, Time deadline, const std::function<void()>& done)
 {
     post("/v1/status", "", 100, [=](unsigned, const std::string& text) {
         auto json = nlohmann::json::parse(text, nullptr, false);
@@ -240,7 +238,7 @@
 }
 
 // Reads the counts of all targets that still run.
-void Experiment::collectStats(std::function<void()> done)
+void Experiment::collectStats(const std::function<void()>& done)
 {
     auto waiting = std::make_shared<size_t>(m_topology.targets().size());
     for (const TargetPlace& target : m_topology.targets()) {
--- a/tools/experiment.h
+++ b/tools/experiment.h
@@ -47,18 +47,18 @@
     void killLeader();
     void race();
 
-    void applyManifest(std::function<void()> done);
+    void applyManifest(const std::function<void()>& done);
     void setDataCentre(const std::string& name, bool out);
-    void waitForMembers(size_t expected, Time deadline, std::function<void()> done);
+    void waitForMembers(size_t expected, Time deadline, const std::function<void()>& done);
     void control(const std::string& target, const std::string& query);
-    void post(
-        const std::string& path, const std::string& body, int tries, std::function<void(unsigned, std::string)> done);
-    void ask(const std::string& name, const std::string& path, std::function<void(std::string)> done);
+    void post(const std::string& path, const std::string& body, int tries,
+        const std::function<void(unsigned, std::string)>& done);
+    void ask(const std::string& name, const std::string& path, const std::function<void(std::string)>& done);
     HttpClient& client(const std::string& name, Endpoint);
 
     void startCallers();
     void finish();
-    void collectStats(std::function<void()> done);
+    void collectStats(const std::function<void()>& done);
     void noteSilence(const std::string& dataCentre);
     void changeDataCentre(const std::string& name, bool out);
     void updateExcuses();
