--- /dev/null
+++ b/daemons/flow_agent_daemon.cc
@@ -0,0 +1,161 @@
+#include "flow_agent_daemon.h"
+
+#include "cluster/codec.h"
+
+namespace cicadaward {
+
+namespace {
+
+    constexpr Duration tickInterval = std::chrono::milliseconds(25);
+    // Heartbeats that may be missing before the target counts as gone.
+    constexpr int missedHeartbeats = 4;
+    constexpr double percent = 100;
+
+    steering::AgentOptions agentOptions(const FlowDaemonBase& base, const Settings& settings)
+    {
+        steering::AgentOptions options;
+        options.self = endpointSetting(settings, "listen.fabric");
+        options.dataCentre = base.dataCentre;
+        options.incarnation = static_cast<uint64_t>(base.clock.wallTime().count());
+        options.maxFlows = static_cast<size_t>(settings.number("limits.max-flows"));
+        options.heartbeatSilence = missedHeartbeats * settings.duration("target.heartbeat-ms");
+        options.warmUpFactor = double(settings.number("warm-up.factor-percent")) / percent;
+        options.warmUpSlack = double(settings.number("warm-up.slack"));
+        return options;
+    }
+
+    cluster::PollerOptions pollerOptions(const Settings& settings)
+    {
+        cluster::PollerOptions options;
+        options.seeds = controlSeeds(settings);
+        options.interval = settings.duration("control.poll-interval-ms");
+        return options;
+    }
+
+} // namespace
+
+FlowAgentDaemon::FlowAgentDaemon(FlowDaemonBase& base, const Settings& settings, const FlowAdapter& adapter)
+    : m_base(base)
+    , m_adapter(adapter)
+    , m_callerPort(endpointSetting(settings, "listen.fabric").port)
+    , m_target(endpointSetting(settings, "target.packets"))
+    , m_decisions(base.clock, *base.log, base.metrics, uint32_t(settings.number("log.decisions-per-second")))
+    , m_steering(agentOptions(base, settings), adapter.packets(), base.clock, m_decisions, *this)
+    , m_poller(pollerOptions(settings), base.clock, base.random, *this)
+    , m_peers(
+          base, endpointSetting(settings, "listen.fabric"),
+          [this](Endpoint sender, const cluster::Envelope& envelope) {
+              cluster::PollReply reply;
+              if (envelope.kind == cluster::MessageKind::PollReply && decodeMessage(envelope.body, reply))
+                  m_poller.onReply(sender, reply);
+          },
+          [this](Endpoint sender, uint8_t* data, size_t size) { m_steering.onFrame(sender, data, size); })
+    , m_targetPort(base.context, endpointSetting(settings, "listen.target"), 2048,
+          [this](Endpoint, uint8_t* data, size_t size) { m_steering.onTargetPacket(data, size); })
+    , m_heartbeats(base.context, endpointSetting(settings, "listen.heartbeats"),
+          [this](const HttpRequest& request, const HttpReply& reply) { onTargetCall(request, reply); })
+    , m_metrics(serveMetrics(base, settings))
+{
+}
+
+absl::Status FlowAgentDaemon::start()
+{
+    for (const absl::Status& status : { m_peers.status(), m_targetPort.status(), m_heartbeats.status() }) {
+        if (!status.ok())
+            return status;
+    }
+    m_poller.pollAll();
+    m_ticker = std::make_unique<Ticker>(m_base.context, tickInterval, [this] { onTick(); });
+    return absl::OkStatus();
+}
+
+void FlowAgentDaemon::onTick()
+{
+    m_steering.onTick();
+    m_poller.onTick();
+    announceChange();
+}
+
+void FlowAgentDaemon::announceChange()
+{
+    if (m_steering.record().sequence == m_announced)
+        return;
+    m_announced = m_steering.record().sequence;
+    m_base.log->write(EventId::MemberChanged,
+        { { "member", formatEndpoint(m_steering.record().agent) },
+            { "state", static_cast<int>(m_steering.record().state) }, { "sequence", m_announced } });
+    m_poller.pollAll();
+}
+
+void FlowAgentDaemon::onTargetCall(const HttpRequest& request, const HttpReply& reply)
+{
+    TargetCall call
+        = m_adapter.targetCall(std::string(request.method_string()), std::string(request.target()), request.body());
+    if (const auto* status = std::get_if<absl::Status>(&call)) {
+        m_base.log->write(EventId::HeartbeatRefused, { { "reason", std::string(status->message()) } });
+        reply(absl::IsNotFound(*status) ? 404 : 400, "text/plain", std::string(status->message()) + "\n");
+        return;
+    }
+    if (const auto* heartbeat = std::get_if<HeartbeatCall>(&call)) {
+        takeHeartbeat(heartbeat->heartbeat);
+    } else if (m_steering.onDeparture(std::get<DepartureCall>(call).id)) {
+        m_base.log->write(EventId::TargetDown, { { "id", std::get<DepartureCall>(call).id }, { "reason", "departed" } });
+    }
+    announceChange();
+    reply(200, "application/json", "{}");
+}
+
+void FlowAgentDaemon::takeHeartbeat(const steering::Heartbeat& heartbeat)
+{
+    steering::HeartbeatResult result = m_steering.onHeartbeat(heartbeat);
+    if (result == steering::HeartbeatResult::Unchanged)
+        return;
+    EventId event = EventId::TargetUp;
+    if (result == steering::HeartbeatResult::Outdated)
+        event = EventId::HeartbeatOutdated;
+    else if (heartbeat.draining)
+        event = EventId::TargetDraining;
+    m_base.log->write(event,
+        { { "id", heartbeat.id }, { "born", heartbeat.born }, { "sequence", heartbeat.sequence },
+            { "warm-up-ms", heartbeat.warmUpLeft.count() } });
+}
+
+std::vector<steering::MemberRecord> FlowAgentDaemon::ownRecords()
+{
+    if (m_steering.record().service == steering::ServiceKey())
+        return {}; // there is no target to announce yet
+    return { m_steering.record() };
+}
+
+void FlowAgentDaemon::sendFrame(Endpoint to, const std::vector<uint8_t>& frame)
+{
+    m_peers.sendDatagram(to, frame.data(), frame.size());
+}
+
+void FlowAgentDaemon::sendToTarget(const uint8_t* packet, size_t size) { m_targetPort.send(m_target, packet, size); }
+
+void FlowAgentDaemon::sendToCaller(const steering::FlowId& flow, const uint8_t* packet, size_t size)
+{
+    m_peers.sendDatagram({ flow.caller.address, m_callerPort }, packet, size);
+}
+
+void FlowAgentDaemon::sendMessage(Endpoint control, const cluster::Envelope& envelope)
+{
+    m_peers.send(control, envelope);
+}
+
+void FlowAgentDaemon::takeState(const cluster::ForwardingState& state)
+{
+    m_steering.setState(steering::RouteTable(state.configuration), state.out);
+    m_base.log->write(EventId::StateTaken,
+        { { "index", state.index }, { "version", state.configuration.version }, { "out", state.out.size() } });
+}
+
+void FlowAgentDaemon::contactLost() { m_base.log->write(EventId::ControlContactLost, {}); }
+
+void FlowAgentDaemon::contactRenewed()
+{
+    m_base.log->write(EventId::ControlContactRenewed, { { "index", m_poller.stateIndex() } });
+}
+
+} // namespace cicadaward
--- /dev/null
+++ b/daemons/flow_agent_daemon.h
@@ -0,0 +1,52 @@
+// The agent on the datagram fabric: one loop that moves packets between the peers' socket, the target's socket, callers
+// and AgentSteering, answers the target's heartbeats, and announces the target to the control instances.
+#pragma once
+
+#include "cluster/poller.h"
+#include "flow_adapter.h"
+#include "flow_daemon.h"
+#include "steering/agent_steering.h"
+
+namespace cicadaward {
+
+class FlowAgentDaemon final : private steering::AgentOutput, private cluster::PollerOutput {
+public:
+    FlowAgentDaemon(FlowDaemonBase&, const Settings&, const FlowAdapter&);
+
+    absl::Status start();
+    void stop() { m_base.context.stop(); }
+
+private:
+    void sendFrame(Endpoint to, const std::vector<uint8_t>& frame) override;
+    void sendToTarget(const uint8_t* packet, size_t size) override;
+    void sendToCaller(const steering::FlowId&, const uint8_t* packet, size_t size) override;
+    void sendMessage(Endpoint control, const cluster::Envelope&) override;
+    void takeState(const cluster::ForwardingState&) override;
+    void takeMember(const steering::MemberRecord&) override { }
+    void suspectMember(Endpoint) override { }
+    void noteIncarnation(uint64_t incarnation) override { m_steering.outlive(incarnation); }
+    std::vector<steering::MemberRecord> ownRecords() override;
+    void contactLost() override;
+    void contactRenewed() override;
+    void onTick();
+    void onTargetCall(const HttpRequest&, const HttpReply&);
+    void takeHeartbeat(const steering::Heartbeat&);
+    // Announces the own record to all control instances when it has changed.
+    void announceChange();
+
+    FlowDaemonBase& m_base;
+    const FlowAdapter& m_adapter;
+    const uint16_t m_callerPort;
+    const Endpoint m_target;
+    DecisionLog m_decisions;
+    steering::AgentSteering m_steering;
+    cluster::Poller m_poller;
+    PeerPort m_peers;
+    UdpPort m_targetPort;
+    HttpServer m_heartbeats;
+    std::unique_ptr<HttpServer> m_metrics;
+    std::unique_ptr<Ticker> m_ticker;
+    uint64_t m_announced = 0; // sequence of the record that was announced last
+};
+
+} // namespace cicadaward
--- /dev/null
+++ b/daemons/flow_control_daemon.cc
@@ -0,0 +1,248 @@
+#include "flow_control_daemon.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace cicadaward {
+
+namespace {
+
+    constexpr Duration tickInterval = std::chrono::milliseconds(30);
+    constexpr Duration reopenInterval = std::chrono::milliseconds(500);
+    constexpr size_t maxTextBytes = 2 << 20;
+
+    // The founders of a group must agree on their identities before they have exchanged a message, so these follow from
+    // the seeds. An identity is used once: a later start with an empty disk draws a random one.
+    InstanceId founderId(Endpoint peer)
+    {
+        return InstanceId(mixHash((uint64_t(peer.address) << 16) | peer.port, 0xf0'1d'e4) | 1);
+    }
+
+    cluster::ControlOptions controlOptions(const Settings& settings)
+    {
+        cluster::ControlOptions options;
+        options.self = { endpointSetting(settings, "listen.peers"), endpointSetting(settings, "listen.operators") };
+        auto port = static_cast<uint16_t>(settings.number("control.peer-port"));
+        for (const ConfiguredEndpoint& seed : settings.endpoints("control.seeds")) {
+            cluster::InstanceAddress address { { seed.address, port }, { seed.address, seed.port } };
+            options.seeds.push_back(address.peer);
+            options.founders[founderId(address.peer)] = address;
+        }
+        options.group.toleratedLosses = static_cast<size_t>(settings.number("control.tolerated-losses"));
+        options.consensus.electionTimeout = settings.duration("raft.election-timeout-ms");
+        options.consensus.heartbeatInterval = options.consensus.electionTimeout / 8;
+        options.consensus.promoteLearners = false; // Group decides
+        options.consensus.messageBytes = 64 << 10;
+        return options;
+    }
+
+} // namespace
+
+FlowControlDaemon::FlowControlDaemon(FlowDaemonBase& base, const Settings& settings, const FlowAdapter& adapter)
+    : m_base(base)
+    , m_adapter(adapter)
+    , m_stopLimit(settings.duration("stop.limit-ms"))
+    , m_options(controlOptions(settings))
+    , m_bootstrap(settings.flag("control.bootstrap"))
+    , m_disk(
+          base.context, m_files, settings.path("data.folder"), StoreOptions(),
+          [this](uint64_t ticket) {
+              if (m_core)
+                  m_core->onPersisted(ticket);
+          },
+          [this](const absl::Status& status) { onStoreFailure(status); })
+    , m_peers(
+          base, m_options.self.peer,
+          [this](Endpoint sender, const cluster::Envelope& envelope) {
+              if (m_core)
+                  m_core->onMessage(sender, envelope);
+          },
+          [](Endpoint, uint8_t*, size_t) {})
+    , m_operators(base.context, m_options.self.operators,
+          [this](const HttpRequest& request, const HttpReply& reply) { onOperatorCall(request, reply); })
+    , m_metrics(serveMetrics(base, settings))
+    , m_exitTimer(base.context)
+{
+}
+
+InstanceId FlowControlDaemon::founderIdentity() const
+{
+    InstanceId own = founderId(m_options.self.peer);
+    return m_bootstrap && m_options.founders.count(own) != 0 ? own : InstanceId();
+}
+
+absl::Status FlowControlDaemon::start()
+{
+    for (const absl::Status& status : { m_peers.status(), m_operators.status() }) {
+        if (!status.ok())
+            return status;
+    }
+    openStore();
+    m_ticker = std::make_unique<Ticker>(m_base.context, tickInterval, [this] { onTick(); });
+    return absl::OkStatus();
+}
+
+bool FlowControlDaemon::openStore()
+{
+    m_nextOpen = m_base.clock.now() + reopenInterval;
+    absl::StatusOr<StoreContents> contents = m_disk.open(founderIdentity());
+    if (!contents.ok()) {
+        m_base.log->write(EventId::StoreFailed, { { "reason", std::string(contents.status().message()) } });
+        return false;
+    }
+    StoreBatch founding;
+    bool isFounder = contents->empty() && founderIdentity() != InstanceId();
+    if (isFounder) {
+        std::vector<InstanceId> voters;
+        for (const auto& [id, address] : m_options.founders)
+            voters.push_back(id);
+        founding = raft::bootstrapBatch(std::move(voters));
+        contents->state = *founding.state;
+        contents->entries = founding.entries;
+    }
+    InstanceId instance = contents->instance;
+    cluster::ControlOutput& output = *this;
+    m_core = std::make_unique<cluster::ControlCore>(
+        m_options, m_base.clock, m_base.random, std::move(*contents), output);
+    if (isFounder)
+        m_disk.write(0, std::move(founding)); // ahead of every batch of the machine, so nothing depends on it unwritten
+    m_base.log->write(EventId::StoreReopened,
+        { { "instance", instance.value() }, { "founder", int(isFounder) },
+            { "version", m_core->state().routes().version() } });
+    return true;
+}
+
+// Runs on the loop; the machine may be in use further up the stack, so it ends at the next tick.
+void FlowControlDaemon::onStoreFailure(const absl::Status& status)
+{
+    m_base.log->write(EventId::StoreFailed, { { "reason", std::string(status.message()) } });
+    m_coreEnded = true;
+}
+
+void FlowControlDaemon::onTick()
+{
+    if (m_coreEnded) {
+        m_coreEnded = false;
+        m_core.reset();
+        for (auto& [request, call] : m_calls)
+            call.reply(503, "text/plain", "the store has failed\n");
+        m_calls.clear();
+        m_nextOpen = m_base.clock.now() + reopenInterval;
+    }
+    if (!m_core) {
+        if (m_base.clock.now() < m_nextOpen || !openStore())
+            return;
+    }
+    m_core->onTick();
+}
+
+void FlowControlDaemon::stop()
+{
+    m_stopping = true;
+    m_exitTimer.expires_after(m_stopLimit);
+    m_exitTimer.async_wait([this](boost::system::error_code) { m_base.context.stop(); });
+    if (m_core)
+        m_core->stop();
+    else
+        m_base.context.stop();
+}
+
+void FlowControlDaemon::stopped() { m_base.context.stop(); }
+
+void FlowControlDaemon::onOperatorCall(const HttpRequest& request, const HttpReply& reply)
+{
+    std::string target(request.target());
+    OperatorCall call = m_adapter.operatorCall(std::string(request.method_string()), target, request.body());
+    if (const auto* status = std::get_if<absl::Status>(&call)) {
+        m_base.log->write(
+            EventId::OrderRefused, { { "call", target }, { "reason", std::string(status->message()) } });
+        reply(absl::IsNotFound(*status) ? 404 : 400, "text/plain", std::string(status->message()) + "\n");
+        return;
+    }
+    if (!m_core || m_stopping) {
+        reply(503, "text/plain", m_stopping ? "the instance is stopping\n" : "the store does not work\n");
+        return;
+    }
+    cluster::RequestNumber number = ++m_lastRequest;
+    m_calls[number] = { reply, target };
+    if (const auto* put = std::get_if<PutConfigurationCall>(&call))
+        m_core->putConfiguration(number, put->configuration, cluster::compress(put->text));
+    else if (const auto* set = std::get_if<SetDataCentreCall>(&call))
+        m_core->setDataCentre(number, set->name, set->out);
+    else
+        m_core->readConfiguration(number);
+}
+
+void FlowControlDaemon::answer(cluster::RequestNumber request, const cluster::Answer& answer)
+{
+    auto found = m_calls.find(request);
+    if (found == m_calls.end())
+        return;
+    PendingCall call = std::move(found->second);
+    m_calls.erase(found);
+    unsigned status = 503;
+    std::string body = std::string(answer.reason) + "\n";
+    std::string type = "text/plain";
+    switch (answer.kind) {
+    case cluster::AnswerKind::Done:
+        status = 200;
+        type = "application/json";
+        body = "{}";
+        break;
+    case cluster::AnswerKind::Configuration:
+        if (auto text = cluster::decompress(answer.text, maxTextBytes)) {
+            status = 200;
+            type = "application/json";
+            body = std::move(*text);
+        }
+        break;
+    case cluster::AnswerKind::Redirect:
+        status = 307;
+        body = "http://" + formatEndpoint(answer.leader) + call.target;
+        break;
+    case cluster::AnswerKind::Unavailable:
+        break;
+    }
+    m_base.log->write(EventId::OrderAnswered,
+        { { "call", call.target }, { "status", status }, { "reason", answer.reason },
+            { "version", m_core->state().routes().version() }, { "index", m_core->state().index() } });
+    call.reply(status, type, std::move(body));
+}
+
+void FlowControlDaemon::sendMessage(Endpoint to, const cluster::Envelope& envelope) { m_peers.send(to, envelope); }
+
+void FlowControlDaemon::persist(uint64_t ticket, const StoreBatch& batch) { m_disk.write(ticket, batch); }
+
+void FlowControlDaemon::happened(cluster::ControlEvent event, const std::string& subject, LogIndex index)
+{
+    EventId id = EventId::GroupChanged;
+    switch (event) {
+    case cluster::ControlEvent::BecameLeader:
+        id = EventId::BecameLeader;
+        break;
+    case cluster::ControlEvent::BecameFollower:
+        id = EventId::BecameFollower;
+        break;
+    case cluster::ControlEvent::ConfigurationInForce:
+        id = EventId::ConfigurationInForce;
+        break;
+    case cluster::ControlEvent::DataCentreOut:
+        id = EventId::DataCentreOut;
+        break;
+    case cluster::ControlEvent::DataCentreBack:
+        id = EventId::DataCentreBack;
+        break;
+    case cluster::ControlEvent::InstanceRegistered:
+        id = EventId::InstanceAdded;
+        break;
+    case cluster::ControlEvent::MembershipChanged:
+        break;
+    case cluster::ControlEvent::OrderExpired:
+        id = EventId::OrderExpired;
+        break;
+    }
+    m_base.log->write(id, { { "subject", subject }, { "index", index } });
+}
+
+} // namespace cicadaward
--- /dev/null
+++ b/daemons/flow_daemon.cc
@@ -0,0 +1,180 @@
+#include "flow_daemon.h"
+
+#include "cluster/codec.h"
+
+#include <boost/asio/post.hpp>
+#include <csignal>
+#include <iostream>
+#include <random>
+#include <unistd.h>
+
+namespace cicadaward {
+
+namespace {
+
+    uint64_t entropy()
+    {
+        std::random_device device;
+        return (uint64_t(device()) << 32) | device();
+    }
+
+} // namespace
+
+Endpoint endpointSetting(const Settings& settings, const std::string& key)
+{
+    ConfiguredEndpoint endpoint = settings.endpoint(key);
+    return { endpoint.address, endpoint.port };
+}
+
+std::string formatEndpoint(Endpoint endpoint)
+{
+    return formatAddress(endpoint.address) + ":" + std::to_string(endpoint.port);
+}
+
+std::vector<Endpoint> controlSeeds(const Settings& settings)
+{
+    std::vector<Endpoint> seeds;
+    auto port = static_cast<uint16_t>(settings.number("control.peer-port"));
+    for (const ConfiguredEndpoint& seed : settings.endpoints("control.seeds"))
+        seeds.push_back({ seed.address, port });
+    return seeds;
+}
+
+DecisionLog::DecisionLog(const Clock& clock, EventLog& log, MetricRegistry& metrics, uint32_t linesPerSecond)
+    : m_clock(clock)
+    , m_log(log)
+    , m_linesPerSecond(linesPerSecond)
+    , m_second(clock.now())
+{
+    for (size_t i = 0; i < m_counters.size(); ++i)
+        m_counters[i] = &metrics.counter(std::string("flow.") + decisionName(static_cast<steering::Decision>(i)));
+}
+
+bool DecisionLog::mayWrite()
+{
+    if (m_clock.now() - m_second >= std::chrono::seconds(1)) {
+        m_second = m_clock.now();
+        m_lines = 0;
+        if (m_suppressed > 0)
+            m_log.write(EventId::DecisionsSuppressed, { { "count", m_suppressed } });
+        m_suppressed = 0;
+    }
+    if (m_lines < m_linesPerSecond) {
+        ++m_lines;
+        return true;
+    }
+    ++m_suppressed;
+    return false;
+}
+
+void DecisionLog::decided(
+    steering::Decision decision, const steering::FlowId& flow, const steering::DecisionInputs& inputs)
+{
+    m_counters[static_cast<size_t>(decision)]->add();
+    if (!mayWrite())
+        return;
+    m_log.write(EventId::FlowDecision,
+        { { "decision", decisionName(decision) }, { "caller", formatEndpoint(flow.caller) },
+            { "address", formatEndpoint(flow.service) }, { "member", formatEndpoint(inputs.member) },
+            { "reason", inputs.reason }, { "version", inputs.version }, { "load", inputs.load } });
+}
+
+FlowDaemonBase::FlowDaemonBase(const Settings& settings)
+    : context(1)
+    , random(entropy())
+    , dataCentre(settings.text("instance.data-centre"))
+    , startNumber(random.next())
+{
+    auto opened = EventLog::open(clock, settings.isSet("log.file") ? settings.path("log.file") : "");
+    if (opened.ok()) {
+        log = std::move(*opened);
+        return;
+    }
+    std::cerr << opened.status() << "; logging to standard output\n";
+    log = std::move(*EventLog::open(clock, ""));
+}
+
+Ticker::Ticker(boost::asio::io_context& context, Duration interval, std::function<void()> action)
+    : m_timer(context)
+    , m_interval(interval)
+    , m_action(std::move(action))
+{
+    schedule();
+}
+
+void Ticker::schedule()
+{
+    m_timer.expires_after(m_interval);
+    m_timer.async_wait([this](boost::system::error_code error) {
+        if (error)
+            return;
+        m_action();
+        schedule();
+    });
+}
+
+PeerPort::PeerPort(FlowDaemonBase& base, Endpoint listen, MessageHandler messageHandler, DatagramHandler datagramHandler)
+    : m_fragmenter(static_cast<uint32_t>(base.startNumber))
+    , m_assembler(base.clock)
+    , m_onMessage(std::move(messageHandler))
+    , m_onDatagram(std::move(datagramHandler))
+    , m_bytesSent(base.metrics.counter("control.bytes-sent"))
+    , m_port(base.context, listen, 2048,
+          [this](Endpoint sender, uint8_t* data, size_t size) { onDatagram(sender, data, size); })
+{
+}
+
+void PeerPort::send(Endpoint to, const cluster::Envelope& envelope)
+{
+    for (const std::string& datagram : m_fragmenter.split(encodeMessage(envelope))) {
+        m_bytesSent.add(datagram.size());
+        m_port.send(to, reinterpret_cast<const uint8_t*>(datagram.data()), datagram.size());
+    }
+}
+
+void PeerPort::onDatagram(Endpoint sender, uint8_t* data, size_t size)
+{
+    if (!cluster::Assembler::isFragment(data, size)) {
+        m_onDatagram(sender, data, size);
+        return;
+    }
+    std::optional<std::string> message = m_assembler.add(sender, data, size);
+    cluster::Envelope envelope;
+    if (message && decodeMessage(*message, envelope))
+        m_onMessage(sender, envelope);
+}
+
+std::unique_ptr<HttpServer> serveMetrics(FlowDaemonBase& base, const Settings& settings)
+{
+    Endpoint listen = endpointSetting(settings, "metrics.listen");
+    if (listen.port == 0)
+        return nullptr;
+    auto server = std::make_unique<HttpServer>(base.context, listen,
+        [&base](const HttpRequest&, const HttpReply& reply) { reply(200, "application/json", base.metrics.json()); });
+    if (!server->status().ok())
+        base.log->write(EventId::ListenFailed, { { "reason", std::string(server->status().message()) } });
+    return server;
+}
+
+void runUntilStopped(FlowDaemonBase& base, const std::function<void()>& stop)
+{
+    boost::asio::signal_set signals(base.context, SIGTERM, SIGINT, SIGHUP);
+    bool stopping = false;
+    std::function<void()> wait = [&] {
+        signals.async_wait([&](boost::system::error_code error, int number) {
+            if (error)
+                return;
+            if (number != SIGHUP && !stopping) {
+                stopping = true;
+                base.log->write(EventId::Stopping, {});
+                stop();
+            }
+            wait();
+        });
+    };
+    wait();
+    base.context.run();
+    base.log->write(EventId::Stopped, {});
+}
+
+} // namespace cicadaward
--- /dev/null
+++ b/daemons/flow_daemon.h
@@ -0,0 +1,104 @@
+// What the daemons of the datagram fabric share: event loop, log, metrics, ticks, the port for messages and frames, and
+// the planned stop. Each daemon has one loop thread; control has another one for its disk.
+#pragma once
+
+#include "cluster/fragments.h"
+#include "cluster/messages.h"
+#include "core/clock.h"
+#include "core/random.h"
+#include "net/http_server.h"
+#include "net/udp_port.h"
+#include "observe/event_log.h"
+#include "observe/metrics.h"
+#include "settings/settings.h"
+#include "steering/decisions.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cicadaward {
+
+Endpoint endpointSetting(const Settings&, const std::string& key);
+std::string formatEndpoint(Endpoint);
+// The datagram endpoints of the seeds: their addresses with the port that all control instances use.
+std::vector<Endpoint> controlSeeds(const Settings&);
+
+// Counts every decision and logs at most a number of them a second. One line each, written by the loop's thread; the
+// limit bounds the time that a slow reader of the log can take.
+class DecisionLog final : public steering::DecisionObserver {
+public:
+    DecisionLog(const Clock&, EventLog&, MetricRegistry&, uint32_t linesPerSecond);
+    void decided(steering::Decision, const steering::FlowId&, const steering::DecisionInputs&) override;
+
+private:
+    bool mayWrite();
+
+    const Clock& m_clock;
+    EventLog& m_log;
+    const uint32_t m_linesPerSecond;
+    std::array<Counter*, static_cast<size_t>(steering::Decision::Count)> m_counters {};
+    Time m_second;
+    uint32_t m_lines = 0;
+    uint64_t m_suppressed = 0;
+};
+
+struct FlowDaemonBase {
+    explicit FlowDaemonBase(const Settings&);
+
+    boost::asio::io_context context;
+    SystemClock clock;
+    std::unique_ptr<EventLog> log;
+    MetricRegistry metrics;
+    Random random;
+    std::string dataCentre;
+    uint64_t startNumber; // differs between two starts; not ordered
+};
+
+// Calls `action` at the interval until the loop ends.
+class Ticker {
+public:
+    Ticker(boost::asio::io_context&, Duration interval, std::function<void()> action);
+
+private:
+    void schedule();
+
+    boost::asio::steady_timer m_timer;
+    Duration m_interval;
+    std::function<void()> m_action;
+};
+
+// One UDP socket for messages (as fragments) and other datagrams (frames).
+class PeerPort {
+public:
+    using MessageHandler = std::function<void(Endpoint, const cluster::Envelope&)>;
+    using DatagramHandler = std::function<void(Endpoint, uint8_t*, size_t)>;
+
+    PeerPort(FlowDaemonBase&, Endpoint listen, MessageHandler, DatagramHandler);
+
+    const absl::Status& status() const { return m_port.status(); }
+    void send(Endpoint to, const cluster::Envelope&);
+    void sendDatagram(Endpoint to, const uint8_t* data, size_t size) { m_port.send(to, data, size); }
+
+private:
+    void onDatagram(Endpoint, uint8_t*, size_t);
+
+    cluster::Fragmenter m_fragmenter;
+    cluster::Assembler m_assembler;
+    MessageHandler m_onMessage;
+    DatagramHandler m_onDatagram;
+    Counter& m_bytesSent;
+    UdpPort m_port;
+};
+
+// Serves the metrics as JSON on metrics.listen, if that is set.
+std::unique_ptr<HttpServer> serveMetrics(FlowDaemonBase&, const Settings&);
+
+// Runs the loop; SIGTERM and SIGINT call `stop`, SIGHUP is logged. Returns when the loop has ended.
+void runUntilStopped(FlowDaemonBase&, const std::function<void()>& stop);
+
+} // namespace cicadaward
--- /dev/null
+++ b/daemons/flow_entry_daemon.cc
@@ -0,0 +1,138 @@
+#include "flow_entry_daemon.h"
+
+#include "cluster/codec.h"
+
+namespace cicadaward {
+
+namespace {
+
+    constexpr Duration tickInterval = std::chrono::milliseconds(30);
+    // How long an agent that control has not heard from is asked last.
+    constexpr Duration silentSuspicion = std::chrono::seconds(2);
+
+    steering::EntryOptions entryOptions(const Settings& settings)
+    {
+        steering::EntryOptions options;
+        options.self = endpointSetting(settings, "listen.peers");
+        options.cacheEntries = static_cast<size_t>(settings.number("limits.cached-flows"));
+        return options;
+    }
+
+    cluster::PollerOptions pollerOptions(const Settings& settings)
+    {
+        cluster::PollerOptions options;
+        options.seeds = controlSeeds(settings);
+        options.wantsMembers = true;
+        options.interval = settings.duration("control.poll-interval-ms");
+        return options;
+    }
+
+} // namespace
+
+FlowEntryDaemon::FlowEntryDaemon(FlowDaemonBase& base, const Settings& settings, const FlowAdapter& adapter)
+    : m_base(base)
+    , m_adapter(adapter)
+    , m_callerPort(endpointSetting(settings, "listen.fabric").port)
+    , m_drain(settings.duration("stop.drain-ms"))
+    , m_decisions(base.clock, *base.log, base.metrics, uint32_t(settings.number("log.decisions-per-second")))
+    , m_steering(entryOptions(settings), adapter.packets(), base.clock, m_decisions, *this)
+    , m_poller(pollerOptions(settings), base.clock, base.random, *this)
+    , m_peers(
+          base, endpointSetting(settings, "listen.peers"),
+          [this](Endpoint sender, const cluster::Envelope& envelope) {
+              cluster::PollReply reply;
+              if (envelope.kind == cluster::MessageKind::PollReply && decodeMessage(envelope.body, reply))
+                  m_poller.onReply(sender, reply);
+          },
+          [this](Endpoint sender, uint8_t* data, size_t size) { m_steering.onFrame(sender, data, size); })
+    , m_fabric(base.context, endpointSetting(settings, "listen.fabric"), 2048,
+          [this](Endpoint, uint8_t* data, size_t size) { m_steering.onCallerPacket(data, size); })
+    , m_readiness(base.context, endpointSetting(settings, "listen.ready"),
+          [this](const HttpRequest& request, const HttpReply& reply) { onReadinessCall(request, reply); })
+    , m_metrics(serveMetrics(base, settings))
+    , m_exitTimer(base.context)
+{
+}
+
+absl::Status FlowEntryDaemon::start()
+{
+    for (const absl::Status& status : { m_peers.status(), m_fabric.status(), m_readiness.status() }) {
+        if (!status.ok())
+            return status;
+    }
+    m_poller.pollAll();
+    m_ticker = std::make_unique<Ticker>(m_base.context, tickInterval, [this] { onTick(); });
+    return absl::OkStatus();
+}
+
+void FlowEntryDaemon::stop()
+{
+    m_stopping = true;
+    m_base.log->write(EventId::ReadinessChanged, { { "ready", 0 }, { "reason", "stopping" } });
+    m_exitTimer.expires_after(m_drain);
+    m_exitTimer.async_wait([this](boost::system::error_code) { m_base.context.stop(); });
+}
+
+void FlowEntryDaemon::onTick()
+{
+    m_steering.onTick();
+    m_poller.onTick();
+}
+
+void FlowEntryDaemon::onReadinessCall(const HttpRequest& request, const HttpReply& reply)
+{
+    std::string path(request.target());
+    if (!m_adapter.isReadinessCall(std::string(request.method_string()), path)) {
+        reply(404, "text/plain", "no such call\n");
+        return;
+    }
+    bool ready = isReady();
+    if (ready != m_reportedReady && !m_stopping)
+        m_base.log->write(EventId::ReadinessChanged,
+            { { "ready", int(ready) }, { "version", m_steering.routes().version() },
+                { "members", m_steering.members().size() } });
+    m_reportedReady = ready;
+    reply(ready ? 200 : 503, "application/json", "{}");
+}
+
+void FlowEntryDaemon::sendFrame(Endpoint agent, const std::vector<uint8_t>& frame)
+{
+    m_peers.sendDatagram(agent, frame.data(), frame.size());
+}
+
+void FlowEntryDaemon::sendToCaller(const steering::FlowId& flow, const std::vector<uint8_t>& packet)
+{
+    m_fabric.send({ flow.caller.address, m_callerPort }, packet.data(), packet.size());
+}
+
+void FlowEntryDaemon::sendMessage(Endpoint control, const cluster::Envelope& envelope)
+{
+    m_peers.send(control, envelope);
+}
+
+void FlowEntryDaemon::takeState(const cluster::ForwardingState& state)
+{
+    m_steering.setState(steering::RouteTable(state.configuration), state.out);
+    m_base.log->write(EventId::StateTaken,
+        { { "index", state.index }, { "version", state.configuration.version },
+            { "routes", state.configuration.routes.size() }, { "out", state.out.size() } });
+}
+
+void FlowEntryDaemon::takeMember(const steering::MemberRecord& record)
+{
+    if (m_steering.members().update(record))
+        m_base.log->write(EventId::MemberChanged,
+            { { "member", formatEndpoint(record.agent) }, { "state", static_cast<int>(record.state) },
+                { "data-centre", record.dataCentre }, { "sequence", record.sequence } });
+}
+
+void FlowEntryDaemon::suspectMember(Endpoint agent) { m_steering.members().suspect(agent, silentSuspicion); }
+
+void FlowEntryDaemon::contactLost() { m_base.log->write(EventId::ControlContactLost, {}); }
+
+void FlowEntryDaemon::contactRenewed()
+{
+    m_base.log->write(EventId::ControlContactRenewed, { { "index", m_poller.stateIndex() } });
+}
+
+} // namespace cicadaward
--- /dev/null
+++ b/daemons/flow_entry_daemon.h
@@ -0,0 +1,52 @@
+// The entry on the datagram fabric: one loop that moves packets between the fabric's socket, the peers' socket and
+// EntrySteering, polls the control instances and answers readiness checks.
+#pragma once
+
+#include "cluster/poller.h"
+#include "flow_adapter.h"
+#include "flow_daemon.h"
+#include "steering/entry_steering.h"
+
+namespace cicadaward {
+
+class FlowEntryDaemon final : private steering::EntryOutput, private cluster::PollerOutput {
+public:
+    FlowEntryDaemon(FlowDaemonBase&, const Settings&, const FlowAdapter&);
+
+    absl::Status start();
+    // Leaves the rotation and goes on forwarding until the fabric has noticed.
+    void stop();
+
+private:
+    void sendFrame(Endpoint agent, const std::vector<uint8_t>& frame) override;
+    void sendToCaller(const steering::FlowId&, const std::vector<uint8_t>& packet) override;
+    void sendMessage(Endpoint control, const cluster::Envelope&) override;
+    void takeState(const cluster::ForwardingState&) override;
+    void takeMember(const steering::MemberRecord&) override;
+    void suspectMember(Endpoint agent) override;
+    void noteIncarnation(uint64_t) override { }
+    std::vector<steering::MemberRecord> ownRecords() override { return {}; }
+    void contactLost() override;
+    void contactRenewed() override;
+    void onTick();
+    void onReadinessCall(const HttpRequest&, const HttpReply&);
+    bool isReady() const { return !m_stopping && m_steering.isReady(); }
+
+    FlowDaemonBase& m_base;
+    const FlowAdapter& m_adapter;
+    const uint16_t m_callerPort;
+    const Duration m_drain;
+    DecisionLog m_decisions;
+    steering::EntrySteering m_steering;
+    cluster::Poller m_poller;
+    PeerPort m_peers;
+    UdpPort m_fabric;
+    HttpServer m_readiness;
+    std::unique_ptr<HttpServer> m_metrics;
+    std::unique_ptr<Ticker> m_ticker;
+    boost::asio::steady_timer m_exitTimer;
+    bool m_stopping = false;
+    bool m_reportedReady = false;
+};
+
+} // namespace cicadaward
--- /dev/null
+++ b/libs/cluster/codec.h
@@ -0,0 +1,52 @@
+// MessagePack adaptors for the replicated state and the messages of the cluster.
+#pragma once
+
+#include "cluster/messages.h"
+#include "cluster/state.h"
+#include "directory/codec.h"
+
+MSGPACK_ADD_ENUM(cicadaward::cluster::CommandKind)
+MSGPACK_ADD_ENUM(cicadaward::cluster::MessageKind)
+MSGPACK_ADD_ENUM(cicadaward::steering::TargetState)
+
+namespace msgpack {
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
+{
+    namespace adaptor {
+
+        template <> struct convert<std::chrono::milliseconds> {
+            const msgpack::object& operator()(const msgpack::object& o, std::chrono::milliseconds& v) const
+            {
+                v = std::chrono::milliseconds(o.as<int64_t>());
+                return o;
+            }
+        };
+        template <> struct pack<std::chrono::milliseconds> {
+            template <typename Stream>
+            msgpack::packer<Stream>& operator()(msgpack::packer<Stream>& out, const std::chrono::milliseconds& v) const
+            {
+                return out.pack(static_cast<int64_t>(v.count()));
+            }
+        };
+
+        CICADAWARD_CODEC(cicadaward::steering::WeightedService, 2, v.service, v.weight)
+        CICADAWARD_CODEC(cicadaward::steering::Route, 4, v.name, v.address, v.services, v.former)
+        CICADAWARD_CODEC(
+            cicadaward::steering::ServicePolicy, 5, v.key, v.name, v.warmUp, v.warmUpRate, v.maxFlows)
+        CICADAWARD_CODEC(cicadaward::steering::Configuration, 4, v.version, v.routes, v.services, v.flowIdleLimit)
+        CICADAWARD_CODEC(cicadaward::steering::MemberRecord, 6, v.agent, v.service, v.dataCentre, v.state,
+            v.incarnation, v.sequence)
+        CICADAWARD_CODEC(cicadaward::cluster::InstanceAddress, 2, v.peer, v.operators)
+        CICADAWARD_CODEC(cicadaward::cluster::Command, 7, v.kind, v.configuration, v.text, v.dataCentre, v.out,
+            v.instance, v.address)
+        CICADAWARD_CODEC(cicadaward::cluster::ForwardingState, 3, v.index, v.configuration, v.out)
+        CICADAWARD_CODEC(cicadaward::cluster::Envelope, 2, v.kind, v.body)
+        CICADAWARD_CODEC(cicadaward::cluster::Poll, 4, v.stateIndex, v.table, v.wantsMembers, v.records)
+        CICADAWARD_CODEC(cicadaward::cluster::TableVersion, 2, v.owner, v.number)
+        CICADAWARD_CODEC(cicadaward::cluster::PollReply, 7, v.stateIndex, v.state, v.table, v.members, v.silent,
+            v.controls, v.newestIncarnation)
+        CICADAWARD_CODEC(cicadaward::cluster::Hello, 3, v.instance, v.address, v.forwarded)
+
+    } // namespace adaptor
+} // MSGPACK_API_VERSION_NAMESPACE
+} // namespace msgpack
--- /dev/null
+++ b/libs/cluster/control_core.cc
@@ -0,0 +1,348 @@
+#include "cluster/control_core.h"
+
+#include "cluster/codec.h"
+#include "raft/codec.h"
+
+#include <algorithm>
+
+namespace cicadaward::cluster {
+
+namespace {
+
+    // Requests of the machine itself (registrations, membership changes) have the highest bit set.
+    constexpr RequestNumber ownRequests = RequestNumber(1) << 63;
+
+} // namespace
+
+ControlCore::ControlCore(
+    ControlOptions options, const Clock& clock, Random& random, StoreContents contents, ControlOutput& output)
+    : m_options(std::move(options))
+    , m_clock(clock)
+    , m_output(output)
+    , m_raft(m_options.consensus, clock, random, std::move(contents))
+    , m_members(clock, random.next())
+    , m_group(m_options.group, clock)
+    , m_nextHello(clock.now())
+    , m_nextGroupLook(clock.now())
+{
+}
+
+void ControlCore::onTick()
+{
+    perform(m_raft.handle(raft::Tick {}));
+    expireOrders(false);
+    Time now = m_clock.now();
+    if (now >= m_nextGroupLook) {
+        m_nextGroupLook = now + m_options.groupInterval;
+        m_members.expire();
+        tendGroup();
+    }
+    if (now >= m_nextHello) {
+        m_nextHello = now + m_options.helloInterval;
+        sayHello();
+    }
+}
+
+void ControlCore::onMessage(Endpoint sender, const Envelope& envelope)
+{
+    if (envelope.kind == MessageKind::Consensus) {
+        raft::RaftMessage message;
+        if (!decodeMessage(envelope.body, message))
+            return;
+        m_seen[message.from] = sender;
+        perform(m_raft.handle(raft::MessageReceived { std::move(message) }));
+    } else if (envelope.kind == MessageKind::Poll) {
+        Poll poll;
+        if (decodeMessage(envelope.body, poll))
+            onPoll(sender, poll);
+    } else if (envelope.kind == MessageKind::Hello) {
+        Hello hello;
+        if (decodeMessage(envelope.body, hello) && hello.instance != m_raft.self())
+            onHello(hello);
+    }
+}
+
+void ControlCore::onHello(Hello hello)
+{
+    m_group.onHello(hello);
+    std::optional<Endpoint> leader = addressOf(m_raft.status().leader);
+    if (m_raft.isLeader() || hello.forwarded || !leader)
+        return;
+    hello.forwarded = true;
+    m_output.sendMessage(*leader, { MessageKind::Hello, encodeMessage(hello) });
+}
+
+void ControlCore::onPersisted(uint64_t ticket) { perform(m_raft.handle(raft::Persisted { ticket })); }
+
+void ControlCore::stop() { perform(m_raft.handle(raft::Stop {})); }
+
+// Answers the request when this instance is not the leader.
+bool ControlCore::redirect(RequestNumber request)
+{
+    if (m_raft.isLeader())
+        return false;
+    InstanceId leader = m_raft.status().leader;
+    auto found = m_state.instances().find(leader);
+    auto founder = m_options.founders.find(leader);
+    Answer answer;
+    answer.reason = "no leader is known";
+    if (found != m_state.instances().end())
+        answer = { AnswerKind::Redirect, "", found->second.operators, "" };
+    else if (founder != m_options.founders.end())
+        answer = { AnswerKind::Redirect, "", founder->second.operators, "" };
+    m_output.answer(request, answer);
+    return true;
+}
+
+void ControlCore::putConfiguration(
+    RequestNumber request, const steering::Configuration& configuration, const std::string& compressedText)
+{
+    if (redirect(request))
+        return;
+    if (m_raft.canRead() && configuration.version <= m_state.routes().version()) {
+        m_output.answer(request, { AnswerKind::Done, "", {}, "" });
+        return;
+    }
+    Command command;
+    command.kind = CommandKind::PutConfiguration;
+    command.configuration = configuration;
+    command.text = compressedText;
+    propose(request, command);
+}
+
+void ControlCore::setDataCentre(RequestNumber request, const std::string& dataCentre, bool out)
+{
+    if (redirect(request))
+        return;
+    if (m_orders.empty() && m_raft.canRead() && (m_state.out().count(dataCentre) != 0) == out) {
+        m_output.answer(request, { AnswerKind::Done, "", {}, "" });
+        return;
+    }
+    Command command;
+    command.kind = CommandKind::SetDataCentre;
+    command.dataCentre = dataCentre;
+    command.out = out;
+    propose(request, command);
+}
+
+void ControlCore::readConfiguration(RequestNumber request)
+{
+    if (redirect(request))
+        return;
+    if (m_raft.canRead() && !m_state.text().empty())
+        m_output.answer(request, { AnswerKind::Configuration, m_state.text(), {}, "" });
+    else
+        m_output.answer(request, { AnswerKind::Unavailable, "", {}, "the newest configuration is not certain" });
+}
+
+void ControlCore::propose(RequestNumber request, const Command& command)
+{
+    perform(m_raft.handle(raft::Propose { request, encodeMessage(command) }));
+}
+
+void ControlCore::perform(std::vector<raft::RaftAction> actions)
+{
+    // Performing an action may produce further ones; they queue behind, so batches keep the order of their tickets.
+    for (raft::RaftAction& action : actions)
+        m_actions.push_back(std::move(action));
+    if (m_performing)
+        return;
+    m_performing = true;
+    while (!m_actions.empty()) {
+        raft::RaftAction action = std::move(m_actions.front());
+        m_actions.pop_front();
+        std::visit([this](auto& a) { on(a); }, action);
+    }
+    m_performing = false;
+}
+
+void ControlCore::on(raft::SendMessage& action)
+{
+    if (std::optional<Endpoint> to = addressOf(action.message.to))
+        m_output.sendMessage(*to, { MessageKind::Consensus, encodeMessage(action.message) });
+}
+
+void ControlCore::on(raft::Persist& action) { m_output.persist(action.ticket, action.batch); }
+
+void ControlCore::on(raft::ApplyEntries& action)
+{
+    for (const LogEntry& entry : action.entries)
+        applyEntry(entry);
+    if (m_applied - m_lastSnapshot >= m_options.snapshotEntries) {
+        m_lastSnapshot = m_applied;
+        perform(m_raft.handle(raft::SnapshotTaken { m_applied, m_state.encode() }));
+    }
+}
+
+void ControlCore::applyEntry(const LogEntry& entry)
+{
+    m_applied = entry.index;
+    Command command;
+    if (entry.kind == EntryKind::Command && decodeMessage(entry.data, command)) {
+        LogIndex before = m_state.index();
+        m_state.apply(entry.index, command);
+        if (m_state.index() != before)
+            reportChange(command, entry.index);
+    }
+    settle(entry);
+}
+
+void ControlCore::reportChange(const Command& command, LogIndex index)
+{
+    if (command.kind == CommandKind::PutConfiguration)
+        m_output.happened(ControlEvent::ConfigurationInForce, std::to_string(command.configuration.version), index);
+    else if (command.kind == CommandKind::SetDataCentre)
+        m_output.happened(command.out ? ControlEvent::DataCentreOut : ControlEvent::DataCentreBack,
+            command.dataCentre, index);
+    else
+        m_output.happened(ControlEvent::InstanceRegistered, std::to_string(command.instance.value()), index);
+}
+
+// Another leader may have put its own entry at the index of an order; the order is then not known to be done.
+void ControlCore::settle(const LogEntry& entry)
+{
+    auto found = m_orders.find(entry.index);
+    if (found == m_orders.end())
+        return;
+    Answer answer;
+    answer.kind = found->second.term == entry.term ? AnswerKind::Done : AnswerKind::Unavailable;
+    answer.reason = "another leader has taken over";
+    m_output.answer(found->second.request, answer);
+    m_orders.erase(found);
+}
+
+void ControlCore::on(raft::InstallSnapshot& action)
+{
+    m_state.decode(action.snapshot.data);
+    m_applied = m_lastSnapshot = action.snapshot.index;
+}
+
+void ControlCore::on(raft::BecameLeader& action)
+{
+    m_group.reset();
+    m_output.happened(ControlEvent::BecameLeader, std::to_string(action.term.value()), m_applied);
+}
+
+void ControlCore::on(raft::BecameFollower& action)
+{
+    m_group.reset();
+    expireOrders(true);
+    m_output.happened(ControlEvent::BecameFollower, std::to_string(action.term.value()), m_applied);
+}
+
+void ControlCore::on(raft::RequestResult& result)
+{
+    if (result.request >= ownRequests)
+        return;
+    if (result.outcome == raft::RequestOutcome::Accepted)
+        m_orders[result.index] = { result.request, result.term, m_clock.now() + m_options.orderLimit };
+    else
+        m_output.answer(result.request, { AnswerKind::Unavailable, "", {}, "the leader takes no order now" });
+}
+
+void ControlCore::on(raft::StopReady&) { m_output.stopped(); }
+
+void ControlCore::expireOrders(bool all)
+{
+    for (auto i = m_orders.begin(); i != m_orders.end();) {
+        if (!all && m_clock.now() < i->second.deadline) {
+            ++i;
+            continue;
+        }
+        m_output.answer(i->second.request, { AnswerKind::Unavailable, "", {}, "not committed in time" });
+        m_output.happened(ControlEvent::OrderExpired, "", i->first);
+        i = m_orders.erase(i);
+    }
+}
+
+void ControlCore::onPoll(Endpoint sender, const Poll& poll)
+{
+    uint64_t newestIncarnation = 0;
+    for (const steering::MemberRecord& record : poll.records)
+        newestIncarnation = m_members.update(record);
+    PollReply reply;
+    reply.newestIncarnation = newestIncarnation;
+    reply.stateIndex = m_state.index();
+    if (poll.stateIndex < m_state.index() && m_state.routes().version() != 0) {
+        if (m_forwardingIndex != m_state.index()) {
+            m_forwardingIndex = m_state.index();
+            m_forwarding = encodeMessage(m_state.forwarding());
+        }
+        reply.state = m_forwarding;
+    }
+    if (poll.wantsMembers)
+        m_members.answer(poll.table, reply);
+    reply.controls = knownControls();
+    m_output.sendMessage(sender, { MessageKind::PollReply, encodeMessage(reply) });
+}
+
+void ControlCore::tendGroup()
+{
+    if (!m_raft.isLeader())
+        return;
+    raft::RaftStatus status = m_raft.status();
+    m_group.observe(status);
+    if (auto registration = m_group.nextRegistration(m_state)) {
+        Command command;
+        command.kind = CommandKind::SetInstance;
+        command.instance = registration->first;
+        command.address = registration->second;
+        propose(ownRequests + m_nextChange++, command);
+        return;
+    }
+    if (std::optional<GroupChange> change = m_group.nextChange(status, m_state)) {
+        m_output.happened(ControlEvent::MembershipChanged,
+            std::to_string(change->instance.value()) + " " + change->reason, m_applied);
+        perform(m_raft.handle(
+            raft::ChangeMembership { ownRequests + m_nextChange++, change->change, change->instance }));
+    }
+}
+
+// Tells the others of this instance until the group counts it as a voter at its address.
+void ControlCore::sayHello()
+{
+    auto own = m_state.instances().find(m_raft.self());
+    bool registered = own != m_state.instances().end() && own->second == m_options.self;
+    raft::RaftStatus status = m_raft.status();
+    bool served = status.leader != InstanceId();
+    if (registered && status.voter && served)
+        return;
+    Hello hello { m_raft.self(), m_options.self, false };
+    if (m_raft.isLeader()) {
+        m_group.onHello(hello);
+        return;
+    }
+    std::string body = encodeMessage(hello);
+    for (Endpoint control : knownControls()) {
+        if (control != m_options.self.peer)
+            m_output.sendMessage(control, { MessageKind::Hello, body });
+    }
+}
+
+std::optional<Endpoint> ControlCore::addressOf(InstanceId id) const
+{
+    auto registered = m_state.instances().find(id);
+    if (registered != m_state.instances().end())
+        return registered->second.peer;
+    auto founder = m_options.founders.find(id);
+    if (founder != m_options.founders.end())
+        return founder->second.peer;
+    auto seen = m_seen.find(id);
+    return seen == m_seen.end() ? std::nullopt : std::optional<Endpoint>(seen->second);
+}
+
+std::vector<Endpoint> ControlCore::knownControls() const
+{
+    std::vector<Endpoint> controls { m_options.self.peer };
+    auto add = [&](Endpoint endpoint) {
+        if (std::find(controls.begin(), controls.end(), endpoint) == controls.end())
+            controls.push_back(endpoint);
+    };
+    for (const auto& [id, address] : m_state.instances())
+        add(address.peer);
+    for (Endpoint seed : m_options.seeds)
+        add(seed);
+    return controls;
+}
+
+} // namespace cicadaward::cluster
--- /dev/null
+++ b/libs/cluster/control_core.h
@@ -0,0 +1,141 @@
+// A control instance as a pure machine: consensus, replicated state, group membership, operators' orders, and the answers
+// to polls. The caller moves bytes and writes batches; it may drive the machine from a test or a schedule as well.
+//
+//     ControlCore core(options, clock, random, store->takeContents(), observer, output);
+//     core.onTick();
+//     core.onMessage(sender, envelope);
+//     core.putConfiguration(request, configuration, text); // answered by output.answer(request, ...)
+//     core.onPersisted(ticket);
+//
+// An order is acknowledged when a majority has made it durable, or when the state, read under the leader's lease, already
+// contains it. A read is answered under the lease only; anything else is a redirect to the leader or "unavailable".
+#pragma once
+
+#include "cluster/group.h"
+#include "cluster/member_table.h"
+#include "cluster/messages.h"
+#include "cluster/state.h"
+#include "core/random.h"
+#include "raft/raft.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cicadaward::cluster {
+
+struct ControlOptions {
+    InstanceAddress self;
+    std::vector<Endpoint> seeds; // control datagram endpoints of other instances
+    std::map<InstanceId, InstanceAddress> founders; // the group of the first start
+    Duration orderLimit = std::chrono::seconds(3); // an order that is not committed by then is answered "unavailable"
+    Duration helloInterval = std::chrono::milliseconds(400);
+    Duration groupInterval = std::chrono::milliseconds(200); // between two looks at the membership
+    LogIndex snapshotEntries = 256; // applied entries between two snapshots
+    GroupOptions group;
+    raft::RaftOptions consensus;
+};
+
+using RequestNumber = uint64_t;
+
+enum class AnswerKind : uint8_t { Done, Configuration, Redirect, Unavailable };
+
+struct Answer {
+    AnswerKind kind = AnswerKind::Unavailable;
+    std::string text; // Configuration: compressed text, as stored
+    Endpoint leader; // Redirect: its administration API
+    const char* reason = "";
+};
+
+// What operators and on-call engineers must see of the group.
+enum class ControlEvent : uint8_t {
+    BecameLeader,
+    BecameFollower,
+    ConfigurationInForce,
+    DataCentreOut,
+    DataCentreBack,
+    InstanceRegistered,
+    MembershipChanged,
+    OrderExpired,
+};
+
+class ControlOutput {
+public:
+    virtual ~ControlOutput() = default;
+    virtual void sendMessage(Endpoint to, const Envelope&) = 0;
+    virtual void persist(uint64_t ticket, const StoreBatch&) = 0;
+    virtual void answer(RequestNumber, const Answer&) = 0;
+    // `subject` names the version, data centre or instance concerned.
+    virtual void happened(ControlEvent, const std::string& subject, LogIndex) = 0;
+    virtual void stopped() = 0; // after stop(): leadership has been handed over
+};
+
+class ControlCore {
+public:
+    ControlCore(ControlOptions, const Clock&, Random&, StoreContents, ControlOutput&);
+
+    void onTick(); // about every 25 ms
+    void onMessage(Endpoint sender, const Envelope&);
+    void onPersisted(uint64_t ticket);
+    void stop();
+
+    void putConfiguration(RequestNumber, const steering::Configuration&, const std::string& compressedText);
+    void setDataCentre(RequestNumber, const std::string& dataCentre, bool out);
+    void readConfiguration(RequestNumber);
+
+    raft::RaftStatus status() const { return m_raft.status(); }
+    const State& state() const { return m_state; }
+    size_t members() const { return m_members.size(); }
+
+private:
+    struct Order {
+        RequestNumber request;
+        Term term;
+        Time deadline;
+    };
+
+    bool redirect(RequestNumber);
+    void propose(RequestNumber, const Command&);
+    void perform(std::vector<raft::RaftAction>);
+    void on(raft::SendMessage&);
+    void on(raft::Persist&);
+    void on(raft::ApplyEntries&);
+    void on(raft::InstallSnapshot&);
+    void on(raft::BecameLeader&);
+    void on(raft::BecameFollower&);
+    void on(raft::RequestResult&);
+    void on(raft::StopReady&);
+    void applyEntry(const LogEntry&);
+    void settle(const LogEntry&);
+    void expireOrders(bool all);
+    void reportChange(const Command&, LogIndex);
+    void onHello(Hello);
+    void onPoll(Endpoint sender, const Poll&);
+    void tendGroup();
+    void sayHello();
+    std::optional<Endpoint> addressOf(InstanceId) const;
+    std::vector<Endpoint> knownControls() const;
+
+    const ControlOptions m_options;
+    const Clock& m_clock;
+    ControlOutput& m_output;
+    raft::Raft m_raft;
+    State m_state;
+    MemberTable m_members;
+    Group m_group;
+    std::map<InstanceId, Endpoint> m_seen; // addresses from which consensus messages came
+    std::map<LogIndex, Order> m_orders; // accepted, not yet committed
+    std::deque<raft::RaftAction> m_actions; // not performed yet
+    bool m_performing = false;
+    LogIndex m_applied = 0;
+    LogIndex m_lastSnapshot = 0;
+    uint64_t m_nextChange = 0; // numbers of the machine's own requests, from ownRequests
+    Time m_nextHello;
+    Time m_nextGroupLook;
+    std::string m_forwarding; // encoded ForwardingState of m_forwardingIndex
+    LogIndex m_forwardingIndex = 0;
+};
+
+} // namespace cicadaward::cluster
--- /dev/null
+++ b/libs/cluster/fragments.h
@@ -0,0 +1,69 @@
+// Messages larger than a datagram, as numbered fragments. A lost fragment loses the message; the protocols above repeat.
+//
+//     for (const std::string& datagram : fragmenter.split(message))
+//         socket.send(peer, datagram);
+//     ...
+//     if (std::optional<std::string> message = assembler.add(sender, data, size))
+//         handle(*message);
+//
+// Messages above compressionThreshold are compressed with zlib: configurations consist of names and addresses that
+// repeat, and fewer fragments survive loss more often.
+#pragma once
+
+#include "core/clock.h"
+#include "directory/directory.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cicadaward::cluster {
+
+constexpr size_t fragmentBytes = 1300; // payload of a datagram; fits an Ethernet frame
+constexpr size_t maxMessageBytes = 4 << 20; // before compression
+constexpr size_t compressionThreshold = 600;
+
+// zlib at its fastest level. decompress() returns nothing for damaged bytes or a result above `limit`.
+std::string compress(const std::string& bytes);
+std::optional<std::string> decompress(const std::string& bytes, size_t limit);
+
+class Fragmenter {
+public:
+    // `firstNumber` must differ between two starts of a process, so that fragments of both are not mixed.
+    explicit Fragmenter(uint32_t firstNumber)
+        : m_number(firstNumber)
+    {
+    }
+    std::vector<std::string> split(const std::string& message);
+
+private:
+    uint32_t m_number;
+};
+
+class Assembler {
+public:
+    explicit Assembler(const Clock& clock)
+        : m_clock(clock)
+    {
+    }
+    // Returns the message that this datagram completes.
+    std::optional<std::string> add(Endpoint sender, const uint8_t* data, size_t size);
+    static bool isFragment(const uint8_t* data, size_t size);
+
+private:
+    struct Partial {
+        std::vector<std::string> parts;
+        size_t missing = 0;
+        Time started;
+    };
+    void makeRoom();
+
+    const Clock& m_clock;
+    std::map<std::pair<uint64_t, uint32_t>, Partial> m_partial; // by sender and message number
+    size_t m_bytes = 0;
+};
+
+} // namespace cicadaward::cluster
--- /dev/null
+++ b/libs/cluster/group.cc
@@ -0,0 +1,86 @@
+#include "cluster/group.h"
+
+#include <algorithm>
+
+namespace cicadaward::cluster {
+
+void Group::observe(const raft::RaftStatus& status)
+{
+    for (const raft::InstanceStatus& instance : status.instances) {
+        if (instance.active || m_lastActive.count(instance.id) == 0)
+            m_lastActive[instance.id] = m_clock.now();
+    }
+    for (auto i = m_hellos.begin(); i != m_hellos.end();)
+        i = isCurrent(i->second) ? std::next(i) : m_hellos.erase(i);
+}
+
+bool Group::isSilent(InstanceId id) const
+{
+    auto found = m_lastActive.find(id);
+    return found != m_lastActive.end() && m_clock.now() - found->second >= m_options.silenceLimit;
+}
+
+std::optional<std::pair<InstanceId, InstanceAddress>> Group::nextRegistration(const State& state) const
+{
+    for (const auto& [id, heard] : m_hellos) {
+        auto known = state.instances().find(id);
+        bool registered = known != state.instances().end() && known->second == heard.address;
+        if (isCurrent(heard) && !registered && !state.isRetired(id))
+            return std::make_pair(id, heard.address);
+    }
+    return std::nullopt;
+}
+
+std::optional<GroupChange> Group::nextChange(const raft::RaftStatus& status, const State& state) const
+{
+    if (status.changePending)
+        return std::nullopt;
+    if (auto change = removeLost(status, state))
+        return change;
+    if (auto change = replaceSilent(status))
+        return change;
+    return addNew(status, state);
+}
+
+std::optional<GroupChange> Group::removeLost(const raft::RaftStatus& status, const State& state) const
+{
+    for (const raft::InstanceStatus& instance : status.instances) {
+        if (state.isRetired(instance.id))
+            return GroupChange { raft::MembershipChange::Remove, instance.id, "its disk was lost" };
+    }
+    return std::nullopt;
+}
+
+std::optional<GroupChange> Group::replaceSilent(const raft::RaftStatus& status) const
+{
+    auto ready = std::find_if(status.instances.begin(), status.instances.end(),
+        [](const raft::InstanceStatus& instance) { return !instance.voter && instance.active && instance.synced; });
+    auto silent = std::find_if(status.instances.begin(), status.instances.end(),
+        [&](const raft::InstanceStatus& instance) { return isSilent(instance.id) && instance.id != status.self; });
+    size_t voters = static_cast<size_t>(std::count_if(status.instances.begin(), status.instances.end(),
+        [](const raft::InstanceStatus& instance) { return instance.voter; }));
+    size_t needed = 2 * m_options.toleratedLosses + 1;
+    if (silent != status.instances.end()) {
+        bool replaceable = ready != status.instances.end();
+        if (!silent->voter || replaceable || voters > needed)
+            return GroupChange { raft::MembershipChange::Remove, silent->id, "silent" };
+    }
+    if (ready != status.instances.end())
+        return GroupChange { raft::MembershipChange::Promote, ready->id, "has caught up" };
+    return std::nullopt;
+}
+
+std::optional<GroupChange> Group::addNew(const raft::RaftStatus& status, const State& state) const
+{
+    if (status.instances.size() >= m_options.instances)
+        return std::nullopt;
+    for (const auto& [id, heard] : m_hellos) {
+        bool member = std::any_of(status.instances.begin(), status.instances.end(),
+            [id = id](const raft::InstanceStatus& instance) { return instance.id == id; });
+        if (!member && isCurrent(heard) && !state.isRetired(id) && state.instances().count(id) != 0)
+            return GroupChange { raft::MembershipChange::AddLearner, id, "said hello" };
+    }
+    return std::nullopt;
+}
+
+} // namespace cicadaward::cluster
--- /dev/null
+++ b/libs/cluster/messages.h
@@ -0,0 +1,53 @@
+// Messages of the control traffic besides those of the consensus machine. Each may be lost, repeated or reordered.
+#pragma once
+
+#include "directory/directory.h"
+#include "cluster/state.h"
+#include "steering/members.h"
+
+#include <string>
+#include <vector>
+
+namespace cicadaward::cluster {
+
+enum class MessageKind : uint8_t { Consensus, Poll, PollReply, Hello };
+
+struct Envelope {
+    MessageKind kind = MessageKind::Consensus;
+    std::string body;
+};
+
+// Version of one control instance's member table. Numbers of different owners are not comparable.
+struct TableVersion {
+    uint64_t owner = 0; // drawn at each start
+    uint64_t number = 0;
+};
+
+// From an entry or agent: what it has, and what it announces.
+struct Poll {
+    LogIndex stateIndex = 0;
+    TableVersion table;
+    bool wantsMembers = false;
+    std::vector<steering::MemberRecord> records; // an agent's own one
+};
+
+struct PollReply {
+    LogIndex stateIndex = 0; // of the sender
+    std::string state; // a ForwardingState, when the poller's is older
+    TableVersion table;
+    std::vector<steering::MemberRecord> members; // changed since the poller's version; at most maxReplyMembers
+    std::vector<Endpoint> silent; // agents that have not announced themselves lately
+    std::vector<Endpoint> controls; // all control instances that the sender knows
+    uint64_t newestIncarnation = 0; // of the poller's own record as the sender knows it
+};
+
+constexpr size_t maxReplyMembers = 512;
+
+// From a control instance that is not a voter, or whose address the group does not know.
+struct Hello {
+    InstanceId instance;
+    InstanceAddress address;
+    bool forwarded = false; // a follower passed it on to the leader; it goes no further
+};
+
+} // namespace cicadaward::cluster
--- /dev/null
+++ b/libs/cluster/poller.cc
@@ -0,0 +1,102 @@
+#include "cluster/poller.h"
+
+#include "cluster/codec.h"
+
+#include <algorithm>
+
+namespace cicadaward::cluster {
+
+namespace {
+
+    constexpr Duration contactLimit = std::chrono::seconds(3);
+
+    uint64_t endpointKey(Endpoint endpoint) { return (uint64_t(endpoint.address) << 16) | endpoint.port; }
+
+} // namespace
+
+Poller::Poller(PollerOptions options, const Clock& clock, Random& random, PollerOutput& output)
+    : m_options(std::move(options))
+    , m_clock(clock)
+    , m_output(output)
+    , m_controls(m_options.seeds)
+    , m_next(m_controls.empty() ? 0 : random.below(m_controls.size()))
+    , m_nextPoll(clock.now())
+    , m_lastReply(clock.now())
+{
+}
+
+void Poller::poll(Endpoint control)
+{
+    Poll poll;
+    poll.stateIndex = m_stateIndex;
+    poll.wantsMembers = m_options.wantsMembers;
+    auto found = m_tables.find(endpointKey(control));
+    if (found != m_tables.end())
+        poll.table = found->second;
+    poll.records = m_output.ownRecords();
+    m_output.sendMessage(control, { MessageKind::Poll, encodeMessage(poll) });
+}
+
+void Poller::pollAll()
+{
+    for (Endpoint control : m_controls)
+        poll(control);
+}
+
+void Poller::onTick()
+{
+    Time now = m_clock.now();
+    if (m_inContact && now - m_lastReply > contactLimit) {
+        m_inContact = false;
+        m_output.contactLost();
+    }
+    if (m_controls.empty() || now < m_nextPoll)
+        return;
+    m_next = (m_next + 1) % m_controls.size();
+    poll(m_controls[m_next]);
+    m_nextPoll = now + m_options.interval / static_cast<int>(m_controls.size());
+}
+
+void Poller::onReply(Endpoint sender, const PollReply& reply)
+{
+    m_lastReply = m_clock.now();
+    if (!m_inContact) {
+        m_inContact = true;
+        m_output.contactRenewed();
+    }
+    if (reply.newestIncarnation != 0)
+        m_output.noteIncarnation(reply.newestIncarnation);
+    learn(reply.stateIndex, reply.controls);
+    if (reply.stateIndex > m_stateIndex && !reply.state.empty()) {
+        ForwardingState state;
+        if (decodeMessage(reply.state, state) && state.index > m_stateIndex) {
+            m_stateIndex = state.index;
+            m_output.takeState(state);
+        }
+    }
+    if (!m_options.wantsMembers)
+        return;
+    m_tables[endpointKey(sender)] = reply.table;
+    for (const steering::MemberRecord& record : reply.members)
+        m_output.takeMember(record);
+    for (Endpoint agent : reply.silent)
+        m_output.suspectMember(agent);
+}
+
+// The seeds stay in the list: they are the way back when all instances have been replaced meanwhile.
+void Poller::learn(LogIndex index, const std::vector<Endpoint>& controls)
+{
+    if (index < m_controlsIndex || controls.empty())
+        return;
+    m_controlsIndex = index;
+    std::vector<Endpoint> next = controls;
+    for (Endpoint seed : m_options.seeds) {
+        if (std::find(next.begin(), next.end(), seed) == next.end())
+            next.push_back(seed);
+    }
+    next.resize(std::min(next.size(), maxControls));
+    if (next != m_controls)
+        m_controls = std::move(next);
+}
+
+} // namespace cicadaward::cluster
--- /dev/null
+++ b/libs/cluster/poller.h
@@ -0,0 +1,75 @@
+// Keeps an entry or agent up to date: polls the control instances in turn, takes the newest state and all member records,
+// and learns of control instances that its seeds do not name.
+//
+//     poller.onTick(); // sends what is due
+//     if (poller.onMessage(sender, envelope)) ...
+//
+// Cost: one poll each interval / number of control instances, whatever the size of the system; a reply carries what has
+// changed. State index and member records only rise, so an instance that lags or was cut off cannot bring old ones back.
+#pragma once
+
+#include "cluster/messages.h"
+#include "core/clock.h"
+#include "core/random.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace cicadaward::cluster {
+
+struct PollerOptions {
+    std::vector<Endpoint> seeds; // control datagram endpoints
+    bool wantsMembers = false;
+    Duration interval = std::chrono::milliseconds(800); // in which every control instance is polled once
+};
+
+constexpr size_t maxControls = 32;
+
+class PollerOutput {
+public:
+    virtual ~PollerOutput() = default;
+    virtual void sendMessage(Endpoint control, const Envelope&) = 0;
+    virtual void takeState(const ForwardingState&) = 0;
+    virtual void takeMember(const steering::MemberRecord&) = 0;
+    virtual void suspectMember(Endpoint agent) = 0;
+    // The own record is known under this incarnation.
+    virtual void noteIncarnation(uint64_t) = 0;
+    // The announcement of this process, or nothing.
+    virtual std::vector<steering::MemberRecord> ownRecords() = 0;
+    virtual void contactLost() = 0;
+    virtual void contactRenewed() = 0;
+};
+
+class Poller {
+public:
+    Poller(PollerOptions, const Clock&, Random&, PollerOutput&);
+
+    void onTick();
+    void onReply(Endpoint sender, const PollReply&);
+    // Polls all control instances at once: at the start and after a change of the own record.
+    void pollAll();
+
+    LogIndex stateIndex() const { return m_stateIndex; }
+    bool inContact() const { return m_inContact; }
+    const std::vector<Endpoint>& controls() const { return m_controls; }
+
+private:
+    void poll(Endpoint control);
+    void learn(LogIndex index, const std::vector<Endpoint>& controls);
+
+    const PollerOptions m_options;
+    const Clock& m_clock;
+    PollerOutput& m_output;
+    std::vector<Endpoint> m_controls;
+    std::map<uint64_t, TableVersion> m_tables; // by control instance
+    size_t m_next = 0;
+    Time m_nextPoll;
+    Time m_lastReply;
+    bool m_inContact = false;
+    LogIndex m_stateIndex = 0;
+    LogIndex m_controlsIndex = 0; // state index of the reply that named m_controls
+};
+
+} // namespace cicadaward::cluster
--- a/libs/core/clock.h
+++ b/libs/core/clock.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace cicadaward {
 
@@ -25,7 +26,14 @@
 
 class SystemClock final : public Clock {
 public:
-    Time now() const override { return std::chrono::steady_clock::now(); }
+    // The boot clock: unlike the steady clock, it counts the time that the machine was suspended, so a lease ends for a
+    // process that wakes late.
+    Time now() const override
+    {
+        timespec time {};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return Time(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    }
     std::chrono::milliseconds wallTime() const override
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/libs/net/http_server.cc
+++ b/libs/net/http_server.cc
@@ -80,6 +80,10 @@
             m_response = {};
             m_response.version(11);
             m_response.result(status);
+            if (status / 100 == 3) {
+                m_response.set(http::field::location, body);
+                body.clear();
+            }
             m_response.set(http::field::content_type, contentType);
             m_response.body() = std::move(body);
             m_response.keep_alive(m_request.keep_alive());
--- a/libs/net/http_server.h
+++ b/libs/net/http_server.h
@@ -21,6 +21,7 @@
 namespace cicadaward {
 
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+// With a status of 3xx, `body` is the location that the client is sent to.
 using HttpReply = std::function<void(unsigned status, std::string contentType, std::string body)>;
 using HttpHandler = std::function<void(const HttpRequest&, HttpReply)>;
 
--- a/libs/observe/events.h
+++ b/libs/observe/events.h
@@ -33,6 +33,8 @@
     IsolationEnded = 206,
     DataCentreOut = 207,
     DataCentreBack = 208,
+    StateTaken = 209,
+    ReadinessChanged = 210,
 
     TargetUp = 300,
     TargetDown = 301,
@@ -45,6 +47,11 @@
     BucketsSettled = 308,
     BucketSyncLate = 309,
     FlowsRestored = 310,
+    FlowDecision = 311,
+    DecisionsSuppressed = 312,
+    HeartbeatRefused = 313,
+    HeartbeatOutdated = 314,
+    MemberChanged = 315,
 
     PacketDropped = 400,
     MessageNotAuthenticated = 401,
@@ -71,6 +78,12 @@
     InstanceAdded = 515,
     InstanceRemoved = 516,
     LearnerPromoted = 517,
+    ConfigurationInForce = 518,
+    OrderRefused = 519,
+    OrderExpired = 520,
+    OrderAnswered = 521,
+    GroupChanged = 522,
+    StoreReopened = 523,
 
     RetryBudgetSpent = 600,
     RequestIdConflict = 601,
--- /dev/null
+++ b/libs/settings/flow_settings.cc
@@ -0,0 +1,91 @@
+// Settings of the daemons on a fabric that hands over flows in datagrams.
+#include "settings/daemon_settings.h"
+
+namespace cicadaward {
+namespace {
+
+    constexpr int64_t maxPathBytes = 4096;
+    constexpr int64_t maxNameBytes = 64;
+    constexpr int64_t maxMs = 3'600'000;
+    constexpr int64_t maxSeeds = 16;
+
+    const std::vector<Setting> commonSettings {
+        { "instance.name", SettingType::Name, "", nullptr, 1, maxNameBytes, "name of this instance in logs" },
+        { "instance.data-centre", SettingType::Name, "", nullptr, 1, maxNameBytes, "data centre of this instance" },
+        { "control.seeds", SettingType::EndpointList, "", nullptr, 1, maxSeeds,
+            "administration endpoints of control instances to start from; others are learned" },
+        { "control.peer-port", SettingType::Number, "", nullptr, 1, 65535,
+            "UDP port of all control instances for messages between daemons" },
+        { "log.file", SettingType::Path, "", "", 1, maxPathBytes, "file for events; standard output when not set" },
+        { "log.decisions-per-second", SettingType::Number, "lines", "20", 0, 10000,
+            "flow decisions that are logged; the counters have all of them" },
+        { "metrics.listen", SettingType::Endpoint, "", "", 0, 0, "HTTP endpoint of the metrics; off when not set" },
+    };
+
+    SettingTable withCommon(const std::vector<Setting>& own)
+    {
+        SettingTable table { commonSettings, {} };
+        table.settings.insert(table.settings.end(), own.begin(), own.end());
+        return table;
+    }
+
+    const Setting pollInterval { "control.poll-interval-ms", SettingType::Milliseconds, "ms", "800", 50, 60000,
+        "time in which every control instance is polled once" };
+
+} // namespace
+
+const SettingTable& flowEntrySettings()
+{
+    static const SettingTable table = withCommon({
+        { "listen.fabric", SettingType::Endpoint, "", nullptr, 0, 0,
+            "UDP endpoint for packets of callers; its port is also the callers' port" },
+        { "listen.peers", SettingType::Endpoint, "", nullptr, 0, 0, "UDP endpoint for agents and control instances" },
+        { "listen.ready", SettingType::Endpoint, "", nullptr, 0, 0, "HTTP endpoint of the readiness check" },
+        pollInterval,
+        { "limits.cached-flows", SettingType::Number, "flows", "65536", 16, 1 << 24,
+            "flows whose agent is remembered" },
+        { "stop.drain-ms", SettingType::Milliseconds, "ms", "2500", 0, maxMs,
+            "time from the end of readiness to the exit" },
+    });
+    return table;
+}
+
+const SettingTable& flowAgentSettings()
+{
+    static const SettingTable table = withCommon({
+        { "listen.fabric", SettingType::Endpoint, "", nullptr, 0, 0,
+            "UDP endpoint for entries, agents and control instances; its port is also the callers' port" },
+        { "listen.target", SettingType::Endpoint, "", nullptr, 0, 0, "UDP endpoint for packets of the target" },
+        { "listen.heartbeats", SettingType::Endpoint, "", nullptr, 0, 0, "HTTP endpoint for the target's heartbeats" },
+        { "target.packets", SettingType::Endpoint, "", nullptr, 0, 0, "UDP endpoint of the target" },
+        { "target.heartbeat-ms", SettingType::Milliseconds, "ms", "1200", 10, maxMs,
+            "time between two heartbeats; after four without one the target counts as gone" },
+        pollInterval,
+        { "limits.max-flows", SettingType::Number, "flows", "16384", 16, 1 << 24, "most flows held" },
+        { "warm-up.factor-percent", SettingType::Number, "%", "100", 1, 10000,
+            "share of the configured warm-up rate that a cold target gets" },
+        { "warm-up.slack", SettingType::Number, "flows", "0", 0, 1 << 20,
+            "new flows a second that a cold target gets beyond it" },
+    });
+    return table;
+}
+
+const SettingTable& flowControlSettings()
+{
+    static const SettingTable table = withCommon({
+        { "listen.peers", SettingType::Endpoint, "", nullptr, 0, 0,
+            "UDP endpoint for all daemons; its port must be control.peer-port" },
+        { "listen.operators", SettingType::Endpoint, "", nullptr, 0, 0, "HTTP endpoint of the administration API" },
+        { "control.bootstrap", SettingType::Flag, "", "false", 0, 0,
+            "true at the first start of the whole system: the seeds form the group" },
+        { "control.tolerated-losses", SettingType::Number, "instances", "1", 0, 8,
+            "disks that may be lost at the same moment; the group keeps at least twice as many voters and one more" },
+        { "data.folder", SettingType::Path, "", nullptr, 1, maxPathBytes, "folder of the log and snapshots" },
+        { "raft.election-timeout-ms", SettingType::Milliseconds, "ms", "1000", 10, maxMs,
+            "shortest time without a leader's message before an election" },
+        { "stop.limit-ms", SettingType::Milliseconds, "ms", "2500", 0, maxMs, "longest time that a planned stop takes" },
+    });
+    return table;
+}
+
+} // namespace cicadaward
--- /dev/null
+++ b/libs/steering/agent_steering.h
@@ -0,0 +1,134 @@
+// Decides what the agent beside a target does with each packet. Pure: no sockets, no clock but the given one; one thread.
+//
+//     AgentSteering steering(options, format, clock, observer, output);
+//     steering.setState(routes, evacuated);
+//     steering.onHeartbeat(heartbeat);
+//     steering.onFrame(sender, data, size); // from an entry or another agent
+//     steering.onTargetPacket(data, size); // sent or bounced by the target
+//
+// Draining, evacuation and the warm-up budget are enforced here, in sum over all entries, because every new flow of the
+// target passes. The flow table is what this process has seen; the target itself has the last word on what it holds.
+// Memory: at most `maxFlows` flows of about 120 bytes and `bounceWindow` frame heads of about 100 bytes.
+#pragma once
+
+#include "core/clock.h"
+#include "steering/decisions.h"
+#include "steering/frame.h"
+#include "steering/target_registration.h"
+#include "steering/work_meter.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <deque>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cicadaward::steering {
+
+struct AgentOptions {
+    Endpoint self; // where frames for this agent go
+    std::string dataCentre;
+    uint64_t incarnation = 0; // larger after a restart of this process
+    size_t maxFlows = 16384;
+    size_t bounceWindow = 1024; // packets given to the target whose frames are kept for a bounce
+    Duration heartbeatSilence = std::chrono::milliseconds(4800); // four heartbeats
+    Duration offerTimeout = std::chrono::milliseconds(250); // a target that has not answered a SYN by then is slow
+    Duration bounceTimeout = std::chrono::milliseconds(25); // a target that has not bounced a packet by then holds the flow
+    Duration offerRetry = std::chrono::milliseconds(500); // a target that answers no SYN gets one this often
+    double warmUpFactor = 1; // a cold target gets rate x factor + slack new flows a second
+    double warmUpSlack = 0;
+    Duration closedRetention = std::chrono::seconds(4);
+};
+
+class AgentOutput {
+public:
+    virtual ~AgentOutput() = default;
+    virtual void sendFrame(Endpoint to, const std::vector<uint8_t>& frame) = 0;
+    virtual void sendToTarget(const uint8_t* packet, size_t size) = 0;
+    virtual void sendToCaller(const FlowId&, const uint8_t* packet, size_t size) = 0;
+};
+
+class AgentSteering {
+public:
+    AgentSteering(AgentOptions, const PacketFormat&, const Clock&, DecisionObserver&, AgentOutput&);
+
+    void setState(RouteTable, std::set<std::string> evacuated);
+    HeartbeatResult onHeartbeat(const Heartbeat&);
+    bool onDeparture(const std::string& id);
+    // `data` is changed in place: the packet gets a mark before it goes to the target.
+    void onFrame(Endpoint sender, uint8_t* data, size_t size);
+    void onTargetPacket(uint8_t* data, size_t size);
+    // Call at least every 100 ms.
+    void onTick();
+
+    // The record that other processes shall know; its sequence rises with each change.
+    const MemberRecord& record();
+    // Another record of this agent is known under `incarnation`; the own one must supersede it. The clock that gave this
+    // process its incarnation may have been set back before the start.
+    void outlive(uint64_t incarnation);
+    const TargetRegistration& registration() const { return m_registration; }
+    // Expected work of the target for each of its slots, in hundredths: requests in hand, their mean over the last second,
+    // and a tenth for each open flow, since an open flow will bring more.
+    uint16_t load() const;
+    size_t flows() const { return m_flows.size(); }
+
+private:
+    struct Flow {
+        Time opened;
+        Time lastPacket;
+        Endpoint entry; // port 0, or the entry that waits for Located
+        bool answered = false; // the target has sent a packet of the flow
+        bool working = false; // a request is at the target and its answer has not begun
+        bool callerClosed = false;
+        bool targetClosed = false;
+        bool lost = false; // its target has started again or left for good
+    };
+    struct Marked {
+        uint32_t mark = 0;
+        Frame frame;
+    };
+
+    const char* refusalReason();
+    void onOffer(Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    void onDelivery(Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    void accept(Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    void passOn(Frame&, const FlowPacket&, const char* reason, const uint8_t* data, size_t size);
+    void giveToTarget(const Frame&, uint8_t* data, size_t size);
+    void onBounced(const FlowPacket&, uint8_t* data, size_t size);
+    void onRequestBytes(Flow&);
+    void onAnswerBytes(Flow&);
+    bool mayBelong(const FlowId&) const;
+    bool isWarmUpSpent();
+    void locate(const FlowId&, Flow&);
+    void forget(const FlowId&);
+    void loseFlows();
+    void close(Flow&, bool& end);
+    void confirmHeld();
+    void expire();
+
+    const AgentOptions m_options;
+    const PacketFormat& m_format;
+    const Clock& m_clock;
+    DecisionObserver& m_observer;
+    AgentOutput& m_output;
+    RouteTable m_routes;
+    bool m_hasState = false;
+    std::set<std::string> m_evacuated;
+    Time m_evacuationColdUntil;
+    TargetRegistration m_registration;
+    MemberRecord m_record;
+    WorkMeter m_work;
+    absl::flat_hash_map<FlowId, Flow> m_flows;
+    size_t m_closing = 0; // flows of which an end has closed
+    std::deque<std::pair<Time, FlowId>> m_unanswered; // SYNs at the target, oldest first
+    std::deque<std::pair<Time, FlowId>> m_unconfirmed; // deliveries of unseen flows, oldest first
+    unsigned m_unansweredInRow = 0;
+    Time m_lastOffer;
+    std::deque<Time> m_coldOffers; // of the last second
+    std::vector<Marked> m_marked; // ring, by mark
+    uint32_t m_lastMark = 0;
+    Time m_lastExpiry;
+    std::vector<uint8_t> m_buffer;
+};
+
+} // namespace cicadaward::steering
--- /dev/null
+++ b/libs/steering/entry_steering.cc
@@ -0,0 +1,285 @@
+// New flows go to members in rendezvous order; packets of known flows go straight to their agent; everything else is
+// searched, first member by member in the likeliest order, then at all members at once.
+#include "steering/entry_steering.h"
+
+#include <algorithm>
+
+namespace cicadaward::steering {
+
+namespace {
+
+    // Members that a new flow may try. More would keep a caller waiting beyond its latency objective.
+    constexpr size_t offerMembers = 8;
+    // Bounds the bookkeeping of unanswered offers; older ones are forgotten without a strike.
+    constexpr size_t maxPendingOffers = 4096;
+    constexpr Duration expiryInterval = std::chrono::seconds(1);
+    constexpr Duration defaultIdleLimit = std::chrono::seconds(15);
+
+    uint64_t endpointKey(Endpoint endpoint) { return (uint64_t(endpoint.address) << 16) | endpoint.port; }
+
+} // namespace
+
+EntrySteering::EntrySteering(EntryOptions options, const PacketFormat& format, const Clock& clock,
+    DecisionObserver& observer, EntryOutput& output)
+    : m_options(options)
+    , m_format(format)
+    , m_clock(clock)
+    , m_observer(observer)
+    , m_output(output)
+    , m_members(clock)
+    , m_lastExpiry(clock.now())
+{
+}
+
+void EntrySteering::setState(RouteTable routes, std::set<std::string> evacuated)
+{
+    m_routes = std::move(routes);
+    m_evacuated = std::move(evacuated);
+}
+
+void EntrySteering::onCallerPacket(const uint8_t* data, size_t size)
+{
+    std::optional<FlowPacket> packet = m_format.decode(data, size, Direction::FromCaller);
+    if (!packet || packet->bounced) {
+        m_observer.decided(Decision::Malformed, {}, {});
+        return;
+    }
+    if (packet->syn)
+        onOpen(*packet, data, size);
+    else
+        onData(*packet, data, size);
+}
+
+void EntrySteering::onOpen(const FlowPacket& packet, const uint8_t* data, size_t size)
+{
+    const Route* route = m_routes.find(packet.flow.service);
+    if (!route) {
+        m_observer.decided(Decision::NoRoute, packet.flow, { {}, "no route for the address", m_routes.version() });
+        return;
+    }
+    uint64_t hash = packet.flow.hash();
+    ServiceKey service = route->draw(hash);
+    std::vector<Endpoint> candidates = m_members.forNewFlow(hash, service, m_evacuated, offerMembers);
+    if (candidates.empty()) {
+        refuse(packet, "no ready member");
+        return;
+    }
+    // Copies start at the next member, so one agent that is gone does not swallow all of them.
+    std::rotate(candidates.begin(), candidates.begin() + packet.copy % candidates.size(), candidates.end());
+    Frame frame;
+    frame.kind = FrameKind::Offer;
+    frame.compare = packet.copy == 0 && candidates.size() > 1;
+    frame.next = 1;
+    frame.service = service;
+    frame.entry = m_options.self;
+    auto found = m_flows.find(packet.flow);
+    if (found != m_flows.end() && found->second.agent.port != 0) {
+        frame.members.push_back(found->second.agent);
+        frame.compare = false;
+    }
+    frame.members.insert(frame.members.end(), candidates.begin(), candidates.end());
+    Endpoint second = frame.members.size() > 1 ? frame.members[1] : Endpoint();
+    if (m_offers.size() < maxPendingOffers)
+        m_offers.push_back({ packet.flow, frame.members[0], frame.compare ? second : Endpoint(), m_clock.now() });
+    send(frame.members[0], frame, data, size);
+    m_observer.decided(Decision::Offered, packet.flow, { frame.members[0], "", m_routes.version() });
+}
+
+void EntrySteering::onData(const FlowPacket& packet, const uint8_t* data, size_t size)
+{
+    Position* known = position(packet.flow);
+    if (!known) {
+        m_observer.decided(Decision::TableFull, packet.flow, {});
+        return;
+    }
+    Time now = m_clock.now();
+    known->lastPacket = now;
+    known->closing = known->closing || packet.fin || packet.reset;
+    if (known->agent.port != 0) {
+        const MemberRecord* member = m_members.find(known->agent);
+        Frame frame;
+        frame.service = member ? member->service : ServiceKey();
+        frame.entry = m_options.self;
+        frame.next = 1;
+        frame.members.push_back(known->agent);
+        send(known->agent, frame, data, size);
+        return;
+    }
+    bool overdue = known->searched && now - known->firstSearch >= m_options.searchLimit;
+    if (overdue && now - known->lastBroadcast >= m_options.broadcastInterval)
+        broadcast(packet, *known, data, size);
+    else
+        search(packet, *known, {}, data, size);
+}
+
+void EntrySteering::search(
+    const FlowPacket& packet, Position& position, Endpoint except, const uint8_t* data, size_t size)
+{
+    const Route* route = m_routes.find(packet.flow.service);
+    if (!route) {
+        m_observer.decided(Decision::NoRoute, packet.flow, { {}, "no route for the address", m_routes.version() });
+        return;
+    }
+    uint64_t hash = packet.flow.hash();
+    std::vector<Endpoint> members = m_members.forOldFlow(hash, *route, route->draw(hash), maxFrameMembers);
+    members.erase(std::remove(members.begin(), members.end(), except), members.end());
+    if (members.empty()) {
+        m_observer.decided(Decision::NotHeld, packet.flow, { except, "no member to ask", m_routes.version() });
+        return;
+    }
+    Frame frame;
+    frame.entry = m_options.self;
+    frame.next = 1;
+    frame.members.assign(members.begin(), members.end());
+    if (!position.searched)
+        position.firstSearch = m_clock.now();
+    position.searched = true;
+    send(members[0], frame, data, size);
+    m_observer.decided(Decision::Searched, packet.flow, { members[0], "", m_routes.version() });
+}
+
+void EntrySteering::broadcast(const FlowPacket& packet, Position& position, const uint8_t* data, size_t size)
+{
+    const Route* route = m_routes.find(packet.flow.service);
+    if (!route)
+        return;
+    position.lastBroadcast = m_clock.now();
+    uint64_t hash = packet.flow.hash();
+    for (Endpoint member : m_members.forOldFlow(hash, *route, route->draw(hash), maxFrameMembers)) {
+        Frame frame;
+        frame.kind = FrameKind::Probe;
+        frame.entry = m_options.self;
+        frame.next = 1;
+        frame.members.push_back(member);
+        send(member, frame, data, size);
+    }
+    m_observer.decided(Decision::Broadcast, packet.flow, { {}, "no answer to the search", m_routes.version() });
+}
+
+void EntrySteering::onFrame(Endpoint sender, const uint8_t* data, size_t size)
+{
+    Frame frame;
+    std::optional<size_t> head = decodeFrame(data, size, frame);
+    if (!head) {
+        m_observer.decided(Decision::Malformed, {}, { sender, "no frame" });
+        return;
+    }
+    if (frame.kind == FrameKind::Located) {
+        if (std::optional<FlowId> flow = decodeFlow(data + *head, size - *head))
+            onLocated(sender, *flow);
+    } else if (frame.kind == FrameKind::Returned) {
+        onReturned(sender, frame, data + *head, size - *head);
+    }
+}
+
+void EntrySteering::onLocated(Endpoint sender, const FlowId& flow)
+{
+    m_members.confirm(sender);
+    m_strikes.erase(endpointKey(sender));
+    Position* known = position(flow);
+    if (!known)
+        return;
+    known->agent = sender;
+    known->searched = false;
+    m_observer.decided(Decision::Located, flow, { sender, "", m_routes.version() });
+}
+
+void EntrySteering::onReturned(Endpoint sender, const Frame& frame, const uint8_t* data, size_t size)
+{
+    std::optional<FlowPacket> packet = m_format.decode(data, size, Direction::FromCaller);
+    if (!packet)
+        return;
+    m_members.confirm(sender);
+    m_strikes.erase(endpointKey(sender));
+    if (packet->syn) {
+        refuse(*packet, "no member accepts");
+        return;
+    }
+    auto found = m_flows.find(packet->flow);
+    if (found == m_flows.end())
+        return;
+    if (found->second.agent == sender)
+        found->second.agent = {};
+    // A packet that a known agent gave back has not been searched for yet.
+    if (found->second.agent.port == 0 && frame.members.size() == 1 && !found->second.searched)
+        search(*packet, found->second, sender, data, size);
+    else
+        m_observer.decided(Decision::NotHeld, packet->flow, { sender, "all members asked", m_routes.version() });
+}
+
+// A reset ends the attempt at once, so the caller can try again while its objective can still be met. It is sent for
+// the first copy only: a later one may race with a target that accepted an earlier copy.
+void EntrySteering::refuse(const FlowPacket& packet, const char* reason)
+{
+    m_observer.decided(Decision::Refused, packet.flow, { {}, reason, m_routes.version() });
+    if (packet.copy == 0 && isReady())
+        m_output.sendToCaller(packet.flow, m_format.reset(packet.flow, 0));
+}
+
+void EntrySteering::send(Endpoint agent, const Frame& frame, const uint8_t* packet, size_t size)
+{
+    encodeFrame(frame, packet, size, m_buffer);
+    m_output.sendFrame(agent, m_buffer);
+}
+
+EntrySteering::Position* EntrySteering::position(const FlowId& flow)
+{
+    auto found = m_flows.find(flow);
+    if (found != m_flows.end())
+        return &found->second;
+    if (m_flows.size() >= m_options.cacheEntries)
+        return nullptr;
+    Position& created = m_flows[flow];
+    created.lastPacket = m_clock.now();
+    return &created;
+}
+
+void EntrySteering::strike(Endpoint agent)
+{
+    if (agent.port == 0)
+        return;
+    uint8_t& strikes = m_strikes[endpointKey(agent)];
+    if (++strikes < m_options.strikes)
+        return;
+    strikes = m_options.strikes;
+    m_members.suspect(agent, m_options.suspicion);
+}
+
+void EntrySteering::checkOffers()
+{
+    Time now = m_clock.now();
+    while (!m_offers.empty() && now - m_offers.front().sent >= m_options.answerLimit) {
+        const PendingOffer& offer = m_offers.front();
+        auto found = m_flows.find(offer.flow);
+        if (found == m_flows.end() || found->second.agent.port == 0) {
+            strike(offer.first);
+            strike(offer.second);
+        }
+        m_offers.pop_front();
+    }
+}
+
+void EntrySteering::onTick()
+{
+    checkOffers();
+    if (m_clock.now() - m_lastExpiry >= expiryInterval)
+        expire();
+}
+
+void EntrySteering::expire()
+{
+    m_lastExpiry = m_clock.now();
+    Duration idle = m_routes.configuration().flowIdleLimit;
+    if (idle == Duration::zero())
+        idle = defaultIdleLimit;
+    for (auto i = m_flows.begin(); i != m_flows.end();) {
+        Duration limit = i->second.closing ? m_options.closedRetention : idle;
+        if (m_lastExpiry - i->second.lastPacket > limit)
+            m_flows.erase(i++);
+        else
+            ++i;
+    }
+    m_members.expire();
+}
+
+} // namespace cicadaward::steering
--- /dev/null
+++ b/libs/steering/entry_steering.h
@@ -0,0 +1,107 @@
+// Decides where an entry sends each packet of a caller. Pure: no sockets, no clock but the given one; one thread.
+//
+//     EntrySteering steering(options, format, clock, observer, output);
+//     steering.setState(routes, evacuated);
+//     steering.members().update(record);
+//     steering.onCallerPacket(data, size);
+//     steering.onFrame(agent, data, size);
+//
+// The entry holds no state that correctness rests on: its cache of flow positions is a hint, and the target decides
+// whether it holds a flow. Memory: at most `cacheEntries` positions of about 80 bytes.
+#pragma once
+
+#include "core/clock.h"
+#include "steering/decisions.h"
+#include "steering/frame.h"
+#include "steering/members.h"
+#include "steering/route_table.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <deque>
+#include <set>
+#include <string>
+
+namespace cicadaward::steering {
+
+struct EntryOptions {
+    Endpoint self; // where agents send frames for this entry
+    size_t cacheEntries = 65536;
+    Duration answerLimit = std::chrono::milliseconds(60); // an offer without an answer by then counts against its agents
+    Duration searchLimit = std::chrono::milliseconds(30); // a search without an answer by then becomes a broadcast
+    Duration broadcastInterval = std::chrono::milliseconds(100); // between two broadcasts for one flow
+    Duration suspicion = std::chrono::seconds(1); // how long an agent that did not answer is asked last
+    uint8_t strikes = 2; // unanswered offers in a row until an agent is suspected
+    Duration closedRetention = std::chrono::seconds(4); // positions of flows that are being closed
+};
+
+class EntryOutput {
+public:
+    virtual ~EntryOutput() = default;
+    virtual void sendFrame(Endpoint agent, const std::vector<uint8_t>& frame) = 0;
+    virtual void sendToCaller(const FlowId&, const std::vector<uint8_t>& packet) = 0;
+};
+
+class EntrySteering {
+public:
+    EntrySteering(EntryOptions, const PacketFormat&, const Clock&, DecisionObserver&, EntryOutput&);
+
+    // Replaces routes and evacuated data centres; open flows stay where they are.
+    void setState(RouteTable, std::set<std::string> evacuated);
+    const RouteTable& routes() const { return m_routes; }
+    Members& members() { return m_members; }
+    // True when packets can be forwarded by a configuration that is in force.
+    bool isReady() const { return m_routes.version() != 0 && m_members.size() != 0; }
+
+    // `data` is changed in place.
+    void onCallerPacket(const uint8_t* data, size_t size);
+    void onFrame(Endpoint sender, const uint8_t* data, size_t size);
+    // Call about every 20 ms while packets flow; expires at most once a second.
+    void onTick();
+
+    size_t cachedFlows() const { return m_flows.size(); }
+
+private:
+    struct Position {
+        Endpoint agent; // port 0: unknown
+        Time lastPacket;
+        Time firstSearch;
+        Time lastBroadcast;
+        bool searched = false;
+        bool closing = false;
+    };
+    struct PendingOffer {
+        FlowId flow;
+        Endpoint first;
+        Endpoint second; // port 0: only one was asked
+        Time sent;
+    };
+
+    void onOpen(const FlowPacket&, const uint8_t* data, size_t size);
+    void onData(const FlowPacket&, const uint8_t* data, size_t size);
+    void search(const FlowPacket&, Position&, Endpoint except, const uint8_t* data, size_t size);
+    void broadcast(const FlowPacket&, Position&, const uint8_t* data, size_t size);
+    void onLocated(Endpoint sender, const FlowId&);
+    void onReturned(Endpoint sender, const Frame&, const uint8_t* packet, size_t size);
+    void refuse(const FlowPacket&, const char* reason);
+    void send(Endpoint agent, const Frame&, const uint8_t* packet, size_t size);
+    Position* position(const FlowId&);
+    void strike(Endpoint agent);
+    void checkOffers();
+    void expire();
+
+    const EntryOptions m_options;
+    const PacketFormat& m_format;
+    const Clock& m_clock;
+    DecisionObserver& m_observer;
+    EntryOutput& m_output;
+    RouteTable m_routes;
+    std::set<std::string> m_evacuated;
+    Members m_members;
+    absl::flat_hash_map<FlowId, Position> m_flows;
+    std::deque<PendingOffer> m_offers; // oldest first
+    absl::flat_hash_map<uint64_t, uint8_t> m_strikes; // by agent
+    Time m_lastExpiry;
+    std::vector<uint8_t> m_buffer;
+};
+
+} // namespace cicadaward::steering
--- /dev/null
+++ b/libs/steering/frame.cc
@@ -0,0 +1,103 @@
+#include "steering/frame.h"
+
+namespace cicadaward::steering {
+
+namespace {
+
+    constexpr uint16_t frameMagic = 0xC1F1;
+    constexpr size_t fixedBytes = 23;
+    constexpr size_t endpointBytes = 6;
+    constexpr uint8_t compareFlag = 1;
+
+    template <typename Integer> void put(std::vector<uint8_t>& out, Integer value)
+    {
+        for (int shift = 8 * (sizeof(Integer) - 1); shift >= 0; shift -= 8)
+            out.push_back(static_cast<uint8_t>(value >> shift));
+    }
+
+    template <typename Integer> Integer take(const uint8_t*& data)
+    {
+        Integer value = 0;
+        for (size_t i = 0; i < sizeof(Integer); ++i)
+            value = static_cast<Integer>((value << 8) | *data++);
+        return value;
+    }
+
+    void putEndpoint(std::vector<uint8_t>& out, Endpoint endpoint)
+    {
+        put(out, endpoint.address);
+        put(out, endpoint.port);
+    }
+
+    Endpoint takeEndpoint(const uint8_t*& data)
+    {
+        Endpoint endpoint;
+        endpoint.address = take<uint32_t>(data);
+        endpoint.port = take<uint16_t>(data);
+        return endpoint;
+    }
+
+} // namespace
+
+void encodeFrame(const Frame& frame, const uint8_t* packet, size_t packetSize, std::vector<uint8_t>& out)
+{
+    out.clear();
+    out.reserve(fixedBytes + endpointBytes * frame.members.size() + packetSize);
+    put(out, frameMagic);
+    put(out, static_cast<uint8_t>(frame.kind));
+    put(out, frame.compare ? compareFlag : uint8_t(0));
+    put(out, frame.next);
+    put(out, frame.best);
+    put(out, frame.bestLoad);
+    put(out, frame.service.value());
+    putEndpoint(out, frame.entry);
+    put(out, static_cast<uint8_t>(frame.members.size()));
+    for (Endpoint member : frame.members)
+        putEndpoint(out, member);
+    out.insert(out.end(), packet, packet + packetSize);
+}
+
+std::optional<size_t> decodeFrame(const uint8_t* data, size_t size, Frame& frame)
+{
+    if (size < fixedBytes)
+        return std::nullopt;
+    const uint8_t* at = data;
+    if (take<uint16_t>(at) != frameMagic)
+        return std::nullopt;
+    auto kind = take<uint8_t>(at);
+    if (kind < static_cast<uint8_t>(FrameKind::Offer) || kind > static_cast<uint8_t>(FrameKind::Located))
+        return std::nullopt;
+    frame.kind = static_cast<FrameKind>(kind);
+    frame.compare = (take<uint8_t>(at) & compareFlag) != 0;
+    frame.next = take<uint8_t>(at);
+    frame.best = take<uint8_t>(at);
+    frame.bestLoad = take<uint16_t>(at);
+    frame.service = ServiceKey(take<uint64_t>(at));
+    frame.entry = takeEndpoint(at);
+    size_t count = take<uint8_t>(at);
+    if (count > maxFrameMembers || size < fixedBytes + endpointBytes * count || frame.next > count
+        || (frame.best != noPosition && frame.best >= count))
+        return std::nullopt;
+    frame.members.clear();
+    for (size_t i = 0; i < count; ++i)
+        frame.members.push_back(takeEndpoint(at));
+    return static_cast<size_t>(at - data);
+}
+
+void encodeFlow(const FlowId& flow, std::vector<uint8_t>& out)
+{
+    putEndpoint(out, flow.caller);
+    putEndpoint(out, flow.service);
+}
+
+std::optional<FlowId> decodeFlow(const uint8_t* data, size_t size)
+{
+    if (size != 2 * endpointBytes)
+        return std::nullopt;
+    FlowId flow;
+    flow.caller = takeEndpoint(data);
+    flow.service = takeEndpoint(data);
+    return flow;
+}
+
+} // namespace cicadaward::steering
--- /dev/null
+++ b/libs/steering/members.cc
@@ -0,0 +1,131 @@
+#include "steering/members.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace cicadaward::steering {
+
+namespace {
+
+    uint64_t endpointKey(Endpoint endpoint) { return (uint64_t(endpoint.address) << 16) | endpoint.port; }
+
+    uint64_t rendezvousScore(uint64_t flowHash, Endpoint agent) { return mixHash(flowHash, endpointKey(agent)); }
+
+} // namespace
+
+bool Members::update(const MemberRecord& record)
+{
+    uint64_t key = endpointKey(record.agent);
+    auto found = m_members.find(key);
+    if (found == m_members.end()) {
+        if (m_members.size() >= maxMembers)
+            return false;
+        m_members.emplace(key, Entry { record, m_clock.now(), {}, 0 });
+        return true;
+    }
+    if (!record.isNewerThan(found->second.record))
+        return false;
+    bool restarted = record.incarnation != found->second.record.incarnation;
+    found->second.record = record;
+    found->second.updated = m_clock.now();
+    if (restarted)
+        found->second.suspectUntil = {};
+    return true;
+}
+
+void Members::suspect(Endpoint agent, Duration shortest)
+{
+    auto found = m_members.find(endpointKey(agent));
+    if (found == m_members.end() || isSuspect(found->second))
+        return;
+    Duration duration = std::min<Duration>(maxSuspicion, shortest * (1 << std::min(found->second.suspicions, 8U)));
+    ++found->second.suspicions;
+    found->second.suspectUntil = m_clock.now() + duration;
+}
+
+void Members::confirm(Endpoint agent)
+{
+    auto found = m_members.find(endpointKey(agent));
+    if (found == m_members.end())
+        return;
+    found->second.suspectUntil = {};
+    found->second.suspicions = 0;
+}
+
+void Members::expire()
+{
+    for (auto i = m_members.begin(); i != m_members.end();) {
+        bool gone = i->second.record.state == TargetState::Gone;
+        if (gone && m_clock.now() - i->second.updated > memberRetention)
+            m_members.erase(i++);
+        else
+            ++i;
+    }
+}
+
+size_t Members::readyCount() const
+{
+    return static_cast<size_t>(std::count_if(m_members.begin(), m_members.end(),
+        [](const auto& entry) { return entry.second.record.state == TargetState::Ready; }));
+}
+
+const MemberRecord* Members::find(Endpoint agent) const
+{
+    auto found = m_members.find(endpointKey(agent));
+    return found == m_members.end() ? nullptr : &found->second.record;
+}
+
+std::vector<Endpoint> Members::forNewFlow(
+    uint64_t flowHash, ServiceKey service, const std::set<std::string>& evacuated, size_t limit) const
+{
+    std::vector<Ranked> ranked;
+    for (const auto& [key, entry] : m_members) {
+        const MemberRecord& record = entry.record;
+        if (record.service != service || record.state != TargetState::Ready || evacuated.count(record.dataCentre))
+            continue;
+        ranked.push_back({ isSuspect(entry) ? 1 : 0, rendezvousScore(flowHash, record.agent), record.agent });
+    }
+    return inOrder(std::move(ranked), limit);
+}
+
+std::vector<Endpoint> Members::forOldFlow(
+    uint64_t flowHash, const Route& route, ServiceKey first, size_t limit) const
+{
+    auto belongs = [&](ServiceKey service) {
+        for (const WeightedService& current : route.services) {
+            if (current.service == service)
+                return true;
+        }
+        return std::find(route.former.begin(), route.former.end(), service) != route.former.end();
+    };
+    std::vector<Ranked> ranked;
+    for (const auto& [key, entry] : m_members) {
+        const MemberRecord& record = entry.record;
+        if (!belongs(record.service))
+            continue;
+        int group = record.service == first ? 0 : 1;
+        if (record.state == TargetState::Gone)
+            group += 2;
+        if (isSuspect(entry))
+            group += 4;
+        ranked.push_back({ group, rendezvousScore(flowHash, record.agent), record.agent });
+    }
+    return inOrder(std::move(ranked), limit);
+}
+
+std::vector<Endpoint> Members::inOrder(std::vector<Ranked> ranked, size_t limit)
+{
+    std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
+        return a.group != b.group ? a.group < b.group : a.score > b.score;
+    });
+    std::vector<Endpoint> agents;
+    for (const Ranked& member : ranked) {
+        if (agents.size() == limit)
+            break;
+        agents.push_back(member.agent);
+    }
+    return agents;
+}
+
+} // namespace cicadaward::steering
--- /dev/null
+++ b/libs/steering/members.h
@@ -0,0 +1,91 @@
+// Members of services as an entry or agent knows them, and the order in which a flow tries them.
+//
+// Records of one agent carry (incarnation, sequence); the newer one wins wherever two meet, so copies that arrive late or
+// from several control instances never bring an old state back. Candidates are in rendezvous order: each member has a
+// hash with the flow, the highest first. Losing or adding a member moves only its own flows, and every entry derives the
+// same order, which is what lets a search find a flow at its first members. Cost: O(members of the service) a call.
+#pragma once
+
+#include "core/clock.h"
+#include "steering/flow_packet.h"
+#include "steering/route_table.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cicadaward::steering {
+
+enum class TargetState : uint8_t {
+    Unknown, // the agent has not heard its target
+    Ready,
+    Draining,
+    Gone, // deregistered or silent
+};
+
+struct MemberRecord {
+    Endpoint agent; // where frames go; identifies the member
+    ServiceKey service;
+    std::string dataCentre;
+    TargetState state = TargetState::Unknown;
+    uint64_t incarnation = 0; // of the agent's process, larger after a restart
+    uint64_t sequence = 0; // of the record within the incarnation
+
+    bool isNewerThan(const MemberRecord& other) const
+    {
+        return incarnation != other.incarnation ? incarnation > other.incarnation : sequence > other.sequence;
+    }
+};
+
+// A member that left is remembered this long as a place where old flows may live; flows live at most 60 s by default.
+constexpr auto memberRetention = std::chrono::seconds(90);
+constexpr auto maxSuspicion = std::chrono::seconds(8);
+constexpr size_t maxMembers = 8192;
+
+class Members {
+public:
+    explicit Members(const Clock& clock)
+        : m_clock(clock)
+    {
+    }
+
+    // Returns true when the record is new or newer and was taken.
+    bool update(const MemberRecord&);
+    // The agent did not answer frames; it is asked last until the time has passed, which doubles with each suspicion up to
+    // maxSuspicion. An answer ends it.
+    void suspect(Endpoint agent, Duration shortest);
+    void confirm(Endpoint agent);
+    void expire();
+
+    size_t size() const { return m_members.size(); }
+    size_t readyCount() const;
+    const MemberRecord* find(Endpoint agent) const;
+
+    // Members that may take a new flow of the service, best first.
+    std::vector<Endpoint> forNewFlow(
+        uint64_t flowHash, ServiceKey, const std::set<std::string>& evacuated, size_t limit) const;
+    // Members that may hold a flow of the route: those of `first`, then those of the route's other services.
+    std::vector<Endpoint> forOldFlow(uint64_t flowHash, const Route&, ServiceKey first, size_t limit) const;
+
+private:
+    struct Entry {
+        MemberRecord record;
+        Time updated;
+        Time suspectUntil;
+        unsigned suspicions = 0; // since the last answer
+    };
+    struct Ranked {
+        int group; // lower goes first
+        uint64_t score; // higher goes first
+        Endpoint agent;
+    };
+
+    bool isSuspect(const Entry& entry) const { return entry.suspectUntil > m_clock.now(); }
+    static std::vector<Endpoint> inOrder(std::vector<Ranked>, size_t limit);
+
+    const Clock& m_clock;
+    absl::flat_hash_map<uint64_t, Entry> m_members; // by agent endpoint
+};
+
+} // namespace cicadaward::steering
--- /dev/null
+++ b/libs/steering/route_table.cc
@@ -0,0 +1,87 @@
+#include "steering/route_table.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace cicadaward::steering {
+
+namespace {
+
+    // Separates the draw of a service from the order of its members, which use the same flow hash.
+    constexpr uint64_t drawSeed = 0x5eed'0001;
+
+    uint64_t addressKey(Endpoint endpoint) { return (uint64_t(endpoint.address) << 16) | endpoint.port; }
+
+    bool serves(const Route& route, ServiceKey service)
+    {
+        return std::any_of(route.services.begin(), route.services.end(),
+            [&](const WeightedService& candidate) { return candidate.service == service; });
+    }
+
+    void inherit(Route& route, const Route& previous)
+    {
+        auto remember = [&](ServiceKey service) {
+            bool known = std::find(route.former.begin(), route.former.end(), service) != route.former.end();
+            if (!known && !serves(route, service) && route.former.size() < maxFormerServices)
+                route.former.push_back(service);
+        };
+        for (const WeightedService& service : previous.services)
+            remember(service.service);
+        for (ServiceKey service : previous.former)
+            remember(service);
+    }
+
+} // namespace
+
+ServiceKey serviceKey(const std::string& name) { return ServiceKey(hashString(name)); }
+
+ServiceKey Route::draw(uint64_t flowHash) const
+{
+    uint64_t total = 0;
+    for (const WeightedService& service : services)
+        total += service.weight;
+    if (total == 0)
+        return {};
+    uint64_t point = mixHash(flowHash, drawSeed) % total;
+    for (const WeightedService& service : services) {
+        if (point < service.weight)
+            return service.service;
+        point -= service.weight;
+    }
+    return {};
+}
+
+RouteTable::RouteTable(Configuration configuration)
+    : m_configuration(std::move(configuration))
+{
+    m_routes.reserve(m_configuration.routes.size());
+    for (size_t i = 0; i < m_configuration.routes.size(); ++i)
+        m_routes.emplace(addressKey(m_configuration.routes[i].address), i);
+}
+
+RouteTable RouteTable::successor(const RouteTable& previous, Configuration configuration)
+{
+    for (Route& route : configuration.routes) {
+        if (const Route* before = previous.find(route.address))
+            inherit(route, *before);
+    }
+    return RouteTable(std::move(configuration));
+}
+
+const Route* RouteTable::find(Endpoint serviceAddress) const
+{
+    auto found = m_routes.find(addressKey(serviceAddress));
+    return found == m_routes.end() ? nullptr : &m_configuration.routes[found->second];
+}
+
+const ServicePolicy* RouteTable::policy(ServiceKey key) const
+{
+    for (const ServicePolicy& policy : m_configuration.services) {
+        if (policy.key == key)
+            return &policy;
+    }
+    return nullptr;
+}
+
+} // namespace cicadaward::steering
--- /dev/null
+++ b/libs/steering/target_registration.cc
@@ -0,0 +1,48 @@
+#include "steering/target_registration.h"
+
+namespace cicadaward::steering {
+
+HeartbeatResult TargetRegistration::onHeartbeat(const Heartbeat& heartbeat)
+{
+    bool sameStart = m_target && m_target->id == heartbeat.id && m_target->born == heartbeat.born;
+    if (sameStart && (heartbeat.sequence <= m_target->sequence || m_departed))
+        return HeartbeatResult::Outdated;
+    // A target's clock may have been set back before its start, so an earlier start is believed once the registered
+    // target has fallen silent.
+    if (m_target && !sameStart && heartbeat.born < m_target->born && state() != TargetState::Gone)
+        return HeartbeatResult::Outdated;
+
+    HeartbeatResult result = HeartbeatResult::NewTarget;
+    if (sameStart) {
+        bool changed = state() == TargetState::Gone || m_target->draining != heartbeat.draining
+            || m_target->service != heartbeat.service || m_target->slots != heartbeat.slots;
+        result = changed ? HeartbeatResult::Changed : HeartbeatResult::Unchanged;
+    } else {
+        // Another target was here before, so this one started while the agent was running.
+        m_sawStart = m_target.has_value();
+        m_departed = false;
+    }
+    m_target = heartbeat;
+    m_lastHeartbeat = m_clock.now();
+    m_coldUntil = m_lastHeartbeat + heartbeat.warmUpLeft;
+    return result;
+}
+
+bool TargetRegistration::onDeparture(const std::string& id)
+{
+    if (!m_target || m_target->id != id || m_departed)
+        return false;
+    m_departed = true;
+    return true;
+}
+
+TargetState TargetRegistration::state() const
+{
+    if (!m_target)
+        return TargetState::Unknown;
+    if (m_departed || m_clock.now() - m_lastHeartbeat > m_silenceLimit)
+        return TargetState::Gone;
+    return m_target->draining ? TargetState::Draining : TargetState::Ready;
+}
+
+} // namespace cicadaward::steering
--- a/libs/store/store.cc
+++ b/libs/store/store.cc
@@ -75,9 +75,9 @@
     if (m_segmentNames.empty()) {
         if (!m_snapshotName.empty())
             return damage(path(m_snapshotName), "the folder has a snapshot but no segment");
-        do {
+        m_instance = m_options.identity;
+        while (m_instance == InstanceId())
             m_instance = InstanceId(m_random.next());
-        } while (m_instance == InstanceId());
         m_contents.instance = m_instance;
         return startSegment({}, true);
     }
