--- a/daemons/flow_agent_daemon.cc
+++ b/daemons/flow_agent_daemon.cc
@@ -149,6 +149,10 @@
     m_steering.setState(steering::RouteTable(state.configuration), state.out);
     m_base.log->write(EventId::StateTaken,
         { { "index", state.index }, { "version", state.configuration.version }, { "out", state.out.size() } });
+    for (const steering::ServicePolicy& policy : state.configuration.services)
+        m_base.log->write(EventId::StateTaken,
+            { { "service", policy.name }, { "warm-up-ms", policy.warmUp.count() },
+                { "warm-up-rate", policy.warmUpRate }, { "max-flows", policy.maxFlows } });
 }
 
 void FlowAgentDaemon::contactLost() { m_base.log->write(EventId::ControlContactLost, {}); }
--- a/daemons/flow_control_daemon.cc
+++ b/daemons/flow_control_daemon.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr Duration tickInterval = std::chrono::milliseconds(30);
+    constexpr Duration tickInterval = std::chrono::milliseconds(15);
     constexpr Duration reopenInterval = std::chrono::milliseconds(500);
     constexpr size_t maxTextBytes = 2 << 20;
 
--- a/libs/cluster/poller.cc
+++ b/libs/cluster/poller.cc
@@ -54,7 +54,8 @@
         return;
     m_next = (m_next + 1) % m_controls.size();
     poll(m_controls[m_next]);
-    m_nextPoll = now + m_options.interval / static_cast<int>(m_controls.size());
+    Duration interval = m_stateIndex == 0 ? m_options.startInterval : m_options.interval;
+    m_nextPoll = now + interval / static_cast<int>(m_controls.size());
 }
 
 void Poller::onReply(Endpoint sender, const PollReply& reply)
--- a/libs/cluster/poller.h
+++ b/libs/cluster/poller.h
@@ -23,6 +23,7 @@
     std::vector<Endpoint> seeds; // control datagram endpoints
     bool wantsMembers = false;
     Duration interval = std::chrono::milliseconds(800); // in which every control instance is polled once
+    Duration startInterval = std::chrono::milliseconds(120); // same, until there is a state
 };
 
 constexpr size_t maxControls = 32;
--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -153,6 +153,8 @@
         return false;
     const ServicePolicy* policy = m_routes.policy(m_registration.target()->service);
     double rate = policy ? policy->warmUpRate : 0;
+    if (rate == 0)
+        return false; // no budget is stated: the load alone decides
     // One below the budget: the flow that would reach it may already be under way from the last window.
     double budget = rate * m_options.warmUpFactor + m_options.warmUpSlack - 1;
     return double(m_coldOffers.size()) + 1 > std::max(1.0, budget);
@@ -169,6 +171,7 @@
     ServiceKey own = m_registration.target() ? m_registration.target()->service : ServiceKey();
     const char* reason = frame.service != own ? "another service" : refusalReason();
     if (reason) {
+        frame.mayRecover = frame.mayRecover || !m_hasState || m_registration.state() == TargetState::Unknown;
         passOn(frame, packet, reason, data, size);
         return;
     }
--- a/libs/steering/entry_steering.cc
+++ b/libs/steering/entry_steering.cc
@@ -60,6 +60,10 @@
     uint64_t hash = packet.flow.hash();
     ServiceKey service = route->draw(hash);
     std::vector<Endpoint> candidates = m_members.forNewFlow(hash, service, m_evacuated, offerMembers);
+    if (candidates.empty() && !m_members.knowsService(service)) {
+        m_observer.decided(Decision::Unready, packet.flow, { {}, "no member is known yet", m_routes.version() });
+        return;
+    }
     if (candidates.empty()) {
         refuse(packet, "no ready member");
         return;
@@ -192,7 +196,10 @@
     m_members.confirm(sender);
     m_strikes.erase(endpointKey(sender));
     if (packet->syn) {
-        refuse(*packet, "no member accepts");
+        if (frame.mayRecover)
+            m_observer.decided(Decision::Unready, packet->flow, { sender, "no member can decide yet", m_routes.version() });
+        else
+            refuse(*packet, "no member accepts");
         return;
     }
     auto found = m_flows.find(packet->flow);
--- a/libs/steering/frame.cc
+++ b/libs/steering/frame.cc
@@ -8,6 +8,7 @@
     constexpr size_t fixedBytes = 23;
     constexpr size_t endpointBytes = 6;
     constexpr uint8_t compareFlag = 1;
+    constexpr uint8_t mayRecoverFlag = 2;
 
     template <typename Integer> void put(std::vector<uint8_t>& out, Integer value)
     {
@@ -45,7 +46,7 @@
     out.reserve(fixedBytes + endpointBytes * frame.members.size() + packetSize);
     put(out, frameMagic);
     put(out, static_cast<uint8_t>(frame.kind));
-    put(out, frame.compare ? compareFlag : uint8_t(0));
+    put(out, static_cast<uint8_t>((frame.compare ? compareFlag : 0) | (frame.mayRecover ? mayRecoverFlag : 0)));
     put(out, frame.next);
     put(out, frame.best);
     put(out, frame.bestLoad);
@@ -68,7 +69,9 @@
     if (kind < static_cast<uint8_t>(FrameKind::Offer) || kind > static_cast<uint8_t>(FrameKind::Located))
         return std::nullopt;
     frame.kind = static_cast<FrameKind>(kind);
-    frame.compare = (take<uint8_t>(at) & compareFlag) != 0;
+    auto flags = take<uint8_t>(at);
+    frame.compare = (flags & compareFlag) != 0;
+    frame.mayRecover = (flags & mayRecoverFlag) != 0;
     frame.next = take<uint8_t>(at);
     frame.best = take<uint8_t>(at);
     frame.bestLoad = take<uint16_t>(at);
--- a/libs/steering/members.cc
+++ b/libs/steering/members.cc
@@ -64,10 +64,10 @@
     }
 }
 
-size_t Members::readyCount() const
+bool Members::knowsService(ServiceKey service) const
 {
-    return static_cast<size_t>(std::count_if(m_members.begin(), m_members.end(),
-        [](const auto& entry) { return entry.second.record.state == TargetState::Ready; }));
+    return std::any_of(m_members.begin(), m_members.end(),
+        [&](const auto& entry) { return entry.second.record.service == service; });
 }
 
 const MemberRecord* Members::find(Endpoint agent) const
--- a/libs/steering/members.h
+++ b/libs/steering/members.h
@@ -59,7 +59,7 @@
     void expire();
 
     size_t size() const { return m_members.size(); }
-    size_t readyCount() const;
+    bool knowsService(ServiceKey) const;
     const MemberRecord* find(Endpoint agent) const;
 
     // Members that may take a new flow of the service, best first.
