--- a/daemons/flow_agent_daemon.h
+++ b/daemons/flow_agent_daemon.h
@@ -26,6 +26,7 @@
     void suspectMember(Endpoint) override { }
     void noteIncarnation(uint64_t incarnation) override { m_steering.outlive(incarnation); }
     std::vector<steering::MemberRecord> ownRecords() override;
+    void takeLeader(Endpoint, uint64_t) override { }
     void contactLost() override;
     void contactRenewed() override;
     void onTick();
--- a/daemons/flow_entry_daemon.h
+++ b/daemons/flow_entry_daemon.h
@@ -26,6 +26,7 @@
     void suspectMember(Endpoint agent) override;
     void noteIncarnation(uint64_t) override { }
     std::vector<steering::MemberRecord> ownRecords() override { return {}; }
+    void takeLeader(Endpoint, uint64_t) override { }
     void contactLost() override;
     void contactRenewed() override;
     void onTick();
--- a/libs/cluster/cluster_test.cc
+++ b/libs/cluster/cluster_test.cc
@@ -283,11 +283,13 @@
     void suspectMember(Endpoint) override { }
     void noteIncarnation(uint64_t) override { }
     std::vector<steering::MemberRecord> ownRecords() override { return {}; }
+    void takeLeader(Endpoint operators, uint64_t) override { leader = operators; }
     void contactLost() override { ++lost; }
     void contactRenewed() override { ++renewed; }
 
     std::vector<Endpoint> polled;
     std::vector<LogIndex> states;
+    Endpoint leader;
     size_t members = 0;
     size_t lost = 0;
     size_t renewed = 0;
--- a/libs/cluster/codec.h
+++ b/libs/cluster/codec.h
@@ -43,8 +43,8 @@
         CICADAWARD_CODEC(cicadaward::cluster::Envelope, 2, v.kind, v.body)
         CICADAWARD_CODEC(cicadaward::cluster::Poll, 4, v.stateIndex, v.table, v.wantsMembers, v.records)
         CICADAWARD_CODEC(cicadaward::cluster::TableVersion, 2, v.owner, v.number)
-        CICADAWARD_CODEC(cicadaward::cluster::PollReply, 7, v.stateIndex, v.state, v.table, v.members, v.silent,
-            v.controls, v.newestIncarnation)
+        CICADAWARD_CODEC(cicadaward::cluster::PollReply, 9, v.stateIndex, v.state, v.table, v.members, v.silent,
+            v.controls, v.leader, v.term, v.newestIncarnation)
         CICADAWARD_CODEC(cicadaward::cluster::Hello, 3, v.instance, v.address, v.forwarded)
 
     } // namespace adaptor
--- a/libs/cluster/control_core.cc
+++ b/libs/cluster/control_core.cc
@@ -81,19 +81,25 @@
 {
     if (m_raft.isLeader())
         return false;
-    InstanceId leader = m_raft.status().leader;
-    auto found = m_state.instances().find(leader);
-    auto founder = m_options.founders.find(leader);
     Answer answer;
     answer.reason = "no leader is known";
-    if (found != m_state.instances().end())
-        answer = { AnswerKind::Redirect, "", found->second.operators, "" };
-    else if (founder != m_options.founders.end())
-        answer = { AnswerKind::Redirect, "", founder->second.operators, "" };
+    Endpoint leader = operatorsOf(m_raft.status().leader);
+    if (leader.port != 0)
+        answer = { AnswerKind::Redirect, "", leader, "" };
     m_output.answer(request, answer);
     return true;
 }
 
+// Port 0 when the instance is not known.
+Endpoint ControlCore::operatorsOf(InstanceId id) const
+{
+    auto found = m_state.instances().find(id);
+    if (found != m_state.instances().end())
+        return found->second.operators;
+    auto founder = m_options.founders.find(id);
+    return founder == m_options.founders.end() ? Endpoint() : founder->second.operators;
+}
+
 void ControlCore::putConfiguration(
     RequestNumber request, const steering::Configuration& configuration, const std::string& compressedText)
 {
@@ -276,6 +282,9 @@
     if (poll.wantsMembers)
         m_members.answer(poll.table, reply);
     reply.controls = knownControls();
+    raft::RaftStatus status = m_raft.status();
+    reply.leader = operatorsOf(status.leader);
+    reply.term = status.term.value();
     m_output.sendMessage(sender, { MessageKind::PollReply, encodeMessage(reply) });
 }
 
--- a/libs/cluster/control_core.h
+++ b/libs/cluster/control_core.h
@@ -116,6 +116,7 @@
     void tendGroup();
     void sayHello();
     std::optional<Endpoint> addressOf(InstanceId) const;
+    Endpoint operatorsOf(InstanceId) const;
     std::vector<Endpoint> knownControls() const;
 
     const ControlOptions m_options;
--- a/libs/cluster/messages.h
+++ b/libs/cluster/messages.h
@@ -38,6 +38,8 @@
     std::vector<steering::MemberRecord> members; // changed since the poller's version; at most maxReplyMembers
     std::vector<Endpoint> silent; // agents that have not announced themselves lately
     std::vector<Endpoint> controls; // all control instances that the sender knows
+    Endpoint leader; // administration API of the leader; port 0 while unknown
+    uint64_t term = 0; // in which it leads
     uint64_t newestIncarnation = 0; // of the poller's own record as the sender knows it
 };
 
--- a/libs/cluster/poller.cc
+++ b/libs/cluster/poller.cc
@@ -67,6 +67,8 @@
     }
     if (reply.newestIncarnation != 0)
         m_output.noteIncarnation(reply.newestIncarnation);
+    if (reply.leader.port != 0)
+        m_output.takeLeader(reply.leader, reply.term);
     learn(reply.stateIndex, reply.controls);
     if (reply.stateIndex > m_stateIndex && !reply.state.empty()) {
         ForwardingState state;
--- a/libs/cluster/poller.h
+++ b/libs/cluster/poller.h
@@ -39,6 +39,8 @@
     virtual void noteIncarnation(uint64_t) = 0;
     // The announcement of this process, or nothing.
     virtual std::vector<steering::MemberRecord> ownRecords() = 0;
+    // Where operators find the leader of `term`.
+    virtual void takeLeader(Endpoint operators, uint64_t term) = 0;
     virtual void contactLost() = 0;
     virtual void contactRenewed() = 0;
 };
