--- a/daemons/disk_writer.h
+++ b/daemons/disk_writer.h
@@ -1,5 +1,5 @@
-// The disk duty of a control instance: writes batches to the store in order on its own thread, so that a slow or stalled
-// disk delays neither the event loop nor the messages that do not depend on it.
+// The disk duty of a control instance: writes batches to the store in order on its own thread, so that a slow or
+// stalled disk delays neither the event loop nor the messages that do not depend on it.
 //
 //     DiskWriter writer(context, files, folder, options, [](uint64_t ticket) { ... }, [](absl::Status) { ... });
 //     absl::StatusOr<StoreContents> contents = writer.open();
--- a/daemons/flow_adapter.h
+++ b/daemons/flow_adapter.h
@@ -40,7 +40,8 @@
     virtual ~FlowAdapter() = default;
     virtual const steering::PacketFormat& packets() const = 0;
     virtual bool isReadinessCall(const std::string& method, const std::string& path) const = 0;
-    virtual TargetCall targetCall(const std::string& method, const std::string& path, const std::string& body) const = 0;
+    virtual TargetCall targetCall(
+        const std::string& method, const std::string& path, const std::string& body) const = 0;
     virtual OperatorCall operatorCall(
         const std::string& method, const std::string& path, const std::string& body) const = 0;
 };
--- a/daemons/flow_agent_daemon.cc
+++ b/daemons/flow_agent_daemon.cc
@@ -99,7 +99,8 @@
     if (const auto* heartbeat = std::get_if<HeartbeatCall>(&call)) {
         takeHeartbeat(heartbeat->heartbeat);
     } else if (m_steering.onDeparture(std::get<DepartureCall>(call).id)) {
-        m_base.log->write(EventId::TargetDown, { { "id", std::get<DepartureCall>(call).id }, { "reason", "departed" } });
+        m_base.log->write(
+            EventId::TargetDown, { { "id", std::get<DepartureCall>(call).id }, { "reason", "departed" } });
     }
     announceChange();
     reply(200, "application/json", "{}");
--- a/daemons/flow_control_daemon.cc
+++ b/daemons/flow_control_daemon.cc
@@ -103,8 +103,8 @@
     }
     InstanceId instance = contents->instance;
     cluster::ControlOutput& output = *this;
-    m_core = std::make_unique<cluster::ControlCore>(
-        m_options, m_base.clock, m_base.random, std::move(*contents), output);
+    m_core
+        = std::make_unique<cluster::ControlCore>(m_options, m_base.clock, m_base.random, std::move(*contents), output);
     if (isFounder)
         m_disk.write(0, std::move(founding)); // ahead of every batch of the machine, so nothing depends on it unwritten
     m_base.log->write(EventId::StoreReopened,
@@ -155,8 +155,7 @@
     std::string target(request.target());
     OperatorCall call = m_adapter.operatorCall(std::string(request.method_string()), target, request.body());
     if (const auto* status = std::get_if<absl::Status>(&call)) {
-        m_base.log->write(
-            EventId::OrderRefused, { { "call", target }, { "reason", std::string(status->message()) } });
+        m_base.log->write(EventId::OrderRefused, { { "call", target }, { "reason", std::string(status->message()) } });
         reply(absl::IsNotFound(*status) ? 404 : 400, "text/plain", std::string(status->message()) + "\n");
         return;
     }
--- a/daemons/flow_control_daemon.h
+++ b/daemons/flow_control_daemon.h
@@ -1,8 +1,8 @@
 // The control instance on the datagram fabric: one loop for messages and the administration API around ControlCore, and
 // one thread for the disk.
 //
-// A store that fails (full or broken disk) ends the consensus machine, not the process: the instance answers 503, opens the
-// store again at intervals and continues from what is on the disk.
+// A store that fails (full or broken disk) ends the consensus machine, not the process: the instance answers 503, opens
+// the store again at intervals and continues from what is on the disk.
 #pragma once
 
 #include "cluster/control_core.h"
--- a/daemons/flow_daemon.cc
+++ b/daemons/flow_daemon.cc
@@ -113,7 +113,8 @@
     });
 }
 
-PeerPort::PeerPort(FlowDaemonBase& base, Endpoint listen, MessageHandler messageHandler, DatagramHandler datagramHandler)
+PeerPort::PeerPort(
+    FlowDaemonBase& base, Endpoint listen, MessageHandler messageHandler, DatagramHandler datagramHandler)
     : m_fragmenter(static_cast<uint32_t>(base.startNumber))
     , m_assembler(base.clock)
     , m_onMessage(std::move(messageHandler))
--- a/daemons/flow_relay_daemon.h
+++ b/daemons/flow_relay_daemon.h
@@ -1,5 +1,5 @@
-// A control instance without a disk: it keeps nothing, votes on nothing, and sends operators to the leader that the other
-// control instances name.
+// A control instance without a disk: it keeps nothing, votes on nothing, and sends operators to the leader that the
+// other control instances name.
 #pragma once
 
 #include "cluster/poller.h"
--- a/libs/cluster/codec.h
+++ b/libs/cluster/codec.h
@@ -31,11 +31,10 @@
 
         CICADAWARD_CODEC(cicadaward::steering::WeightedService, 2, v.service, v.weight)
         CICADAWARD_CODEC(cicadaward::steering::Route, 4, v.name, v.address, v.services, v.former)
-        CICADAWARD_CODEC(
-            cicadaward::steering::ServicePolicy, 5, v.key, v.name, v.warmUp, v.warmUpRate, v.maxFlows)
+        CICADAWARD_CODEC(cicadaward::steering::ServicePolicy, 5, v.key, v.name, v.warmUp, v.warmUpRate, v.maxFlows)
         CICADAWARD_CODEC(cicadaward::steering::Configuration, 4, v.version, v.routes, v.services, v.flowIdleLimit)
-        CICADAWARD_CODEC(cicadaward::steering::MemberRecord, 6, v.agent, v.service, v.dataCentre, v.state,
-            v.incarnation, v.sequence)
+        CICADAWARD_CODEC(
+            cicadaward::steering::MemberRecord, 6, v.agent, v.service, v.dataCentre, v.state, v.incarnation, v.sequence)
         CICADAWARD_CODEC(cicadaward::cluster::InstanceAddress, 2, v.peer, v.operators)
         CICADAWARD_CODEC(cicadaward::cluster::Command, 7, v.kind, v.configuration, v.text, v.dataCentre, v.out,
             v.instance, v.address)
--- a/libs/cluster/control_core.cc
+++ b/libs/cluster/control_core.cc
@@ -201,8 +201,8 @@
     if (command.kind == CommandKind::PutConfiguration)
         m_output.happened(ControlEvent::ConfigurationInForce, std::to_string(command.configuration.version), index);
     else if (command.kind == CommandKind::SetDataCentre)
-        m_output.happened(command.out ? ControlEvent::DataCentreOut : ControlEvent::DataCentreBack,
-            command.dataCentre, index);
+        m_output.happened(
+            command.out ? ControlEvent::DataCentreOut : ControlEvent::DataCentreBack, command.dataCentre, index);
     else
         m_output.happened(ControlEvent::InstanceRegistered, std::to_string(command.instance.value()), index);
 }
@@ -305,8 +305,8 @@
     if (std::optional<GroupChange> change = m_group.nextChange(status, m_state)) {
         m_output.happened(ControlEvent::MembershipChanged,
             std::to_string(change->instance.value()) + " " + change->reason, m_applied);
-        perform(m_raft.handle(
-            raft::ChangeMembership { ownRequests + m_nextChange++, change->change, change->instance }));
+        perform(
+            m_raft.handle(raft::ChangeMembership { ownRequests + m_nextChange++, change->change, change->instance }));
     }
 }
 
--- a/libs/cluster/control_core.h
+++ b/libs/cluster/control_core.h
@@ -1,5 +1,6 @@
-// A control instance as a pure machine: consensus, replicated state, group membership, operators' orders, and the answers
-// to polls. The caller moves bytes and writes batches; it may drive the machine from a test or a schedule as well.
+// A control instance as a pure machine: consensus, replicated state, group membership, operators' orders, and the
+// answers to polls. The caller moves bytes and writes batches; it may drive the machine from a test or a schedule as
+// well.
 //
 //     ControlCore core(options, clock, random, store->takeContents(), observer, output);
 //     core.onTick();
@@ -7,8 +8,9 @@
 //     core.putConfiguration(request, configuration, text); // answered by output.answer(request, ...)
 //     core.onPersisted(ticket);
 //
-// An order is acknowledged when a majority has made it durable, or when the state, read under the leader's lease, already
-// contains it. A read is answered under the lease only; anything else is a redirect to the leader or "unavailable".
+// An order is acknowledged when a majority has made it durable, or when the state, read under the leader's lease,
+// already contains it. A read is answered under the lease only; anything else is a redirect to the leader or
+// "unavailable".
 #pragma once
 
 #include "cluster/group.h"
--- a/libs/cluster/fragments.h
+++ b/libs/cluster/fragments.h
@@ -1,4 +1,5 @@
-// Messages larger than a datagram, as numbered fragments. A lost fragment loses the message; the protocols above repeat.
+// Messages larger than a datagram, as numbered fragments. A lost fragment loses the message; the protocols above
+// repeat.
 //
 //     for (const std::string& datagram : fragmenter.split(message))
 //         socket.send(peer, datagram);
--- a/libs/cluster/group.h
+++ b/libs/cluster/group.h
@@ -2,7 +2,8 @@
 //
 // - An instance that says hello and is no member becomes a learner, then a voter once it has the log.
 // - An identity whose address another one has registered since has lost its disk: it is removed at once.
-// - A voter that has been silent for `silenceLimit` is removed when a learner that has caught up can replace it, or when
+// - A voter that has been silent for `silenceLimit` is removed when a learner that has caught up can replace it, or
+// when
 //   more voters remain than the group needs to lose `toleratedLosses` disks at once. It may come back with its disk: it
 //   says hello again and is added again.
 #pragma once
--- a/libs/cluster/group_simulation.h
+++ b/libs/cluster/group_simulation.h
@@ -1,5 +1,5 @@
-// Several control instances on a simulated network with simulated disks, driven by a seed: messages are delayed, lost and
-// cut; processes crash, freeze, lose power or their disk, and are replaced. Written for schedules in tests.
+// Several control instances on a simulated network with simulated disks, driven by a seed: messages are delayed, lost
+// and cut; processes crash, freeze, lose power or their disk, and are replaced. Written for schedules in tests.
 #pragma once
 
 #include "cluster/control_core.h"
--- a/libs/cluster/messages.h
+++ b/libs/cluster/messages.h
@@ -1,8 +1,8 @@
 // Messages of the control traffic besides those of the consensus machine. Each may be lost, repeated or reordered.
 #pragma once
 
-#include "directory/directory.h"
 #include "cluster/state.h"
+#include "directory/directory.h"
 #include "steering/members.h"
 
 #include <string>
--- a/libs/cluster/poller.h
+++ b/libs/cluster/poller.h
@@ -1,11 +1,12 @@
-// Keeps an entry or agent up to date: polls the control instances in turn, takes the newest state and all member records,
-// and learns of control instances that its seeds do not name.
+// Keeps an entry or agent up to date: polls the control instances in turn, takes the newest state and all member
+// records, and learns of control instances that its seeds do not name.
 //
 //     poller.onTick(); // sends what is due
 //     if (poller.onMessage(sender, envelope)) ...
 //
 // Cost: one poll each interval / number of control instances, whatever the size of the system; a reply carries what has
-// changed. State index and member records only rise, so an instance that lags or was cut off cannot bring old ones back.
+// changed. State index and member records only rise, so an instance that lags or was cut off cannot bring old ones
+// back.
 #pragma once
 
 #include "cluster/messages.h"
--- a/libs/observe/events.cc
+++ b/libs/observe/events.cc
@@ -50,7 +50,8 @@
         { EventId::IsolationEnded, EventLevel::Info, "isolation-ended", "forwarding has resumed" },
         { EventId::DataCentreOut, EventLevel::Warning, "data-centre-out", "a data centre was taken out" },
         { EventId::DataCentreBack, EventLevel::Info, "data-centre-back", "a data centre was brought back" },
-        { EventId::StateTaken, EventLevel::Info, "state-taken", "a newer replicated state is in force in this process" },
+        { EventId::StateTaken, EventLevel::Info, "state-taken",
+            "a newer replicated state is in force in this process" },
         { EventId::ReadinessChanged, EventLevel::Info, "readiness-changed",
             "the process starts or stops telling the fabric that it can forward" },
 
--- a/libs/settings/flow_settings.cc
+++ b/libs/settings/flow_settings.cc
@@ -81,10 +81,12 @@
         { "control.tolerated-losses", SettingType::Number, "instances", "1", 0, 8,
             "disks that may be lost at the same moment; the group keeps at least twice as many voters and one more" },
         { "data.folder", SettingType::Path, "", "", 1, maxPathBytes,
-            "folder of the log and snapshots; without it the instance keeps nothing and sends operators to the leader" },
+            "folder of the log and snapshots; without it the instance keeps nothing and sends operators to the "
+            "leader" },
         { "raft.election-timeout-ms", SettingType::Milliseconds, "ms", "400", 10, maxMs,
             "shortest time without a leader's message before an election" },
-        { "stop.limit-ms", SettingType::Milliseconds, "ms", "2500", 0, maxMs, "longest time that a planned stop takes" },
+        { "stop.limit-ms", SettingType::Milliseconds, "ms", "2500", 0, maxMs,
+            "longest time that a planned stop takes" },
     });
     return table;
 }
--- a/libs/settings/settings_test.cc
+++ b/libs/settings/settings_test.cc
@@ -158,9 +158,11 @@
 {
     const std::string page = fileText(CICADAWARD_SOURCE_DIR "/docs/SETTINGS.md");
     std::string expected;
-    for (const auto& [name, settings] :
-        { std::pair { "cicadaward-entry", &entrySettings() }, std::pair { "cicadaward-agent", &agentSettings() },
-            std::pair { "cicadaward-control", &controlSettings() } }) {
+    for (const auto& [name, settings] : { std::pair { "cicadaward-entry", &entrySettings() },
+             std::pair { "cicadaward-agent", &agentSettings() }, std::pair { "cicadaward-control", &controlSettings() },
+             std::pair { "cicadaward-flow entry", &flowEntrySettings() },
+             std::pair { "cicadaward-flow agent", &flowAgentSettings() },
+             std::pair { "cicadaward-flow control", &flowControlSettings() } }) {
         for (const Setting& setting : settings->settings) {
             if (setting.defaultValue && *setting.defaultValue) {
                 const SettingTable one { { setting }, {} };
--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -1,5 +1,5 @@
-// A new flow goes to the less loaded of two members; a member that may not take it passes it on. A packet of a flow that
-// the agent has not seen goes to the target only when the agent cannot rule out that the target holds it.
+// A new flow goes to the less loaded of two members; a member that may not take it passes it on. A packet of a flow
+// that the agent has not seen goes to the target only when the agent cannot rule out that the target holds it.
 #include "steering/agent_steering.h"
 
 #include <algorithm>
@@ -95,7 +95,8 @@
 uint16_t AgentSteering::load() const
 {
     double slots = m_registration.target() ? std::max(1U, m_registration.target()->slots) : 1;
-    double work = m_work.inHand() + double(m_unanswered.size()) + m_work.mean() + openFlowWork * double(m_flows.size() - m_closing);
+    double work = m_work.inHand() + double(m_unanswered.size()) + m_work.mean()
+        + openFlowWork * double(m_flows.size() - m_closing);
     return static_cast<uint16_t>(std::min(65535.0, hundredths * work / slots));
 }
 
@@ -366,7 +367,8 @@
     end = true;
 }
 
-// A target bounces a packet of a flow that it does not hold at once, but may have no reason to answer one that it holds.
+// A target bounces a packet of a flow that it does not hold at once, but may have no reason to answer one that it
+// holds.
 void AgentSteering::confirmHeld()
 {
     Time now = m_clock.now();
--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -1,4 +1,5 @@
-// Decides what the agent beside a target does with each packet. Pure: no sockets, no clock but the given one; one thread.
+// Decides what the agent beside a target does with each packet. Pure: no sockets, no clock but the given one; one
+// thread.
 //
 //     AgentSteering steering(options, format, clock, observer, output);
 //     steering.setState(routes, evacuated);
@@ -33,7 +34,8 @@
     size_t bounceWindow = 1024; // packets given to the target whose frames are kept for a bounce
     Duration heartbeatSilence = std::chrono::milliseconds(4800); // four heartbeats
     Duration offerTimeout = std::chrono::milliseconds(250); // a target that has not answered a SYN by then is slow
-    Duration bounceTimeout = std::chrono::milliseconds(25); // a target that has not bounced a packet by then holds the flow
+    Duration bounceTimeout
+        = std::chrono::milliseconds(25); // a target that has not bounced a packet by then holds the flow
     Duration offerRetry = std::chrono::milliseconds(500); // a target that answers no SYN gets one this often
     double warmUpFactor = 1; // a cold target gets rate x factor + slack new flows a second
     double warmUpSlack = 0;
@@ -63,12 +65,12 @@
 
     // The record that other processes shall know; its sequence rises with each change.
     const MemberRecord& record();
-    // Another record of this agent is known under `incarnation`; the own one must supersede it. The clock that gave this
-    // process its incarnation may have been set back before the start.
+    // Another record of this agent is known under `incarnation`; the own one must supersede it. The clock that gave
+    // this process its incarnation may have been set back before the start.
     void outlive(uint64_t incarnation);
     const TargetRegistration& registration() const { return m_registration; }
-    // Expected work of the target for each of its slots, in hundredths: requests in hand, their mean over the last second,
-    // and a tenth for each open flow, since an open flow will bring more.
+    // Expected work of the target for each of its slots, in hundredths: requests in hand, their mean over the last
+    // second, and a tenth for each open flow, since an open flow will bring more.
     uint16_t load() const;
     size_t flows() const { return m_flows.size(); }
 
--- a/libs/steering/entry_steering.cc
+++ b/libs/steering/entry_steering.cc
@@ -197,7 +197,8 @@
     m_strikes.erase(endpointKey(sender));
     if (packet->syn) {
         if (frame.mayRecover)
-            m_observer.decided(Decision::Unready, packet->flow, { sender, "no member can decide yet", m_routes.version() });
+            m_observer.decided(
+                Decision::Unready, packet->flow, { sender, "no member can decide yet", m_routes.version() });
         else
             refuse(*packet, "no member accepts");
         return;
--- a/libs/steering/entry_steering.h
+++ b/libs/steering/entry_steering.h
@@ -26,7 +26,8 @@
 struct EntryOptions {
     Endpoint self; // where agents send frames for this entry
     size_t cacheEntries = 65536;
-    Duration answerLimit = std::chrono::milliseconds(60); // an offer without an answer by then counts against its agents
+    Duration answerLimit
+        = std::chrono::milliseconds(60); // an offer without an answer by then counts against its agents
     Duration searchLimit = std::chrono::milliseconds(30); // a search without an answer by then becomes a broadcast
     Duration broadcastInterval = std::chrono::milliseconds(100); // between two broadcasts for one flow
     Duration suspicion = std::chrono::seconds(1); // how long an agent that did not answer is asked last
--- a/libs/steering/frame.h
+++ b/libs/steering/frame.h
@@ -1,8 +1,8 @@
 // Frames between entries and agents: a list of members to visit, what the visits have shown so far, and the packet.
 //
-// The list travels with the packet, so an agent needs no member table to pass a packet on, and a frame visits each member
-// at most once more than it is listed. Layout, big endian: magic 2, kind 1, flags 1, next 1, best 1, load 2, service 8,
-// entry 6, count 1, members 6 each; then the packet.
+// The list travels with the packet, so an agent needs no member table to pass a packet on, and a frame visits each
+// member at most once more than it is listed. Layout, big endian: magic 2, kind 1, flags 1, next 1, best 1, load 2,
+// service 8, entry 6, count 1, members 6 each; then the packet.
 #pragma once
 
 #include "steering/flow_packet.h"
--- a/libs/steering/members.cc
+++ b/libs/steering/members.cc
@@ -66,8 +66,8 @@
 
 bool Members::knowsService(ServiceKey service) const
 {
-    return std::any_of(m_members.begin(), m_members.end(),
-        [&](const auto& entry) { return entry.second.record.service == service; });
+    return std::any_of(
+        m_members.begin(), m_members.end(), [&](const auto& entry) { return entry.second.record.service == service; });
 }
 
 const MemberRecord* Members::find(Endpoint agent) const
@@ -89,8 +89,7 @@
     return inOrder(std::move(ranked), limit);
 }
 
-std::vector<Endpoint> Members::forOldFlow(
-    uint64_t flowHash, const Route& route, ServiceKey first, size_t limit) const
+std::vector<Endpoint> Members::forOldFlow(uint64_t flowHash, const Route& route, ServiceKey first, size_t limit) const
 {
     auto belongs = [&](ServiceKey service) {
         for (const WeightedService& current : route.services) {
@@ -116,9 +115,8 @@
 
 std::vector<Endpoint> Members::inOrder(std::vector<Ranked> ranked, size_t limit)
 {
-    std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
-        return a.group != b.group ? a.group < b.group : a.score > b.score;
-    });
+    std::sort(ranked.begin(), ranked.end(),
+        [](const Ranked& a, const Ranked& b) { return a.group != b.group ? a.group < b.group : a.score > b.score; });
     std::vector<Endpoint> agents;
     for (const Ranked& member : ranked) {
         if (agents.size() == limit)
--- a/libs/steering/members.h
+++ b/libs/steering/members.h
@@ -1,9 +1,9 @@
 // Members of services as an entry or agent knows them, and the order in which a flow tries them.
 //
-// Records of one agent carry (incarnation, sequence); the newer one wins wherever two meet, so copies that arrive late or
-// from several control instances never bring an old state back. Candidates are in rendezvous order: each member has a
-// hash with the flow, the highest first. Losing or adding a member moves only its own flows, and every entry derives the
-// same order, which is what lets a search find a flow at its first members. Cost: O(members of the service) a call.
+// Records of one agent carry (incarnation, sequence); the newer one wins wherever two meet, so copies that arrive late
+// or from several control instances never bring an old state back. Candidates are in rendezvous order: each member has
+// a hash with the flow, the highest first. Losing or adding a member moves only its own flows, and every entry derives
+// the same order, which is what lets a search find a flow at its first members. Cost: O(members of the service) a call.
 #pragma once
 
 #include "core/clock.h"
@@ -52,8 +52,8 @@
 
     // Returns true when the record is new or newer and was taken.
     bool update(const MemberRecord&);
-    // The agent did not answer frames; it is asked last until the time has passed, which doubles with each suspicion up to
-    // maxSuspicion. An answer ends it.
+    // The agent did not answer frames; it is asked last until the time has passed, which doubles with each suspicion up
+    // to maxSuspicion. An answer ends it.
     void suspect(Endpoint agent, Duration shortest);
     void confirm(Endpoint agent);
     void expire();
--- a/libs/steering/steering_test.cc
+++ b/libs/steering/steering_test.cc
@@ -108,8 +108,8 @@
         agent.setState(hubTable(), {});
         beat();
     }
-    HeartbeatResult beat(const std::string& id = "t-1", uint64_t born = 100, bool draining = false,
-        std::chrono::milliseconds cold = 0ms)
+    HeartbeatResult beat(
+        const std::string& id = "t-1", uint64_t born = 100, bool draining = false, std::chrono::milliseconds cold = 0ms)
     {
         Heartbeat heartbeat;
         heartbeat.id = id;
@@ -226,8 +226,8 @@
     CHECK(toCatalogue > 800);
     CHECK(toCatalogue < 1200);
 
-    RouteTable second = RouteTable::successor(
-        first, configurationOf(2, { routeOf(serviceAddress, { { catalogue, 1 } }) }, {}));
+    RouteTable second
+        = RouteTable::successor(first, configurationOf(2, { routeOf(serviceAddress, { { catalogue, 1 } }) }, {}));
     CHECK(second.find(serviceAddress)->former == std::vector<ServiceKey> { hub });
     RouteTable third
         = RouteTable::successor(second, configurationOf(3, { routeOf(serviceAddress, { { hub, 1 } }) }, {}));
@@ -369,7 +369,8 @@
     CHECK(first.size() == 3);
 }
 
-TEST_CASE("entry: an unknown address is answered with silence, a full service with a reset of the first copy", "[entry]")
+TEST_CASE(
+    "entry: an unknown address is answered with silence, a full service with a reset of the first copy", "[entry]")
 {
     EntryFixture fixture;
     FlowPacket stray = synPacket({ { 1, 1 }, { 2, 2 } });
--- a/libs/steering/test_fabric.h
+++ b/libs/steering/test_fabric.h
@@ -1,4 +1,5 @@
-// Fakes for tests of the steering machines: a packet format of one struct, outputs that record, and an observer that counts.
+// Fakes for tests of the steering machines: a packet format of one struct, outputs that record, and an observer that
+// counts.
 #pragma once
 
 #include "steering/agent_steering.h"
