--- /dev/null
+++ b/libs/steering/steering_schedule_test.cc
@@ -0,0 +1,429 @@
+// Entries and agents on a simulated fabric, driven by a seed: packets are lost, delayed and spread over entries;
+// entries and agents restart empty; targets drain and are replaced; routes move between services. A slow, obvious model
+// says which target holds each flow.
+//
+// Guards against: a packet of an open flow that never reaches its target again, a reset of an open flow, a new flow at
+// a target of another service or one that is draining or evacuated.
+//
+//     CICADAWARD_SCHEDULES=20000 steering_schedule_test   more of them
+//     CICADAWARD_SEED=17 steering_schedule_test           one, with its seed
+#include "steering/test_fabric.h"
+
+#include "core/random.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <map>
+#include <memory>
+#include <queue>
+
+using namespace cicadaward;
+using namespace cicadaward::steering;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceKey services[] = { serviceKey("hub"), serviceKey("catalogue") };
+const Endpoint addresses[] = { { 0xC6120001, 443 }, { 0xC6120002, 443 } };
+constexpr size_t entryCount = 3;
+constexpr size_t agentCount = 7;
+constexpr Duration stepLength = 5ms;
+// A flow that is tried this often without reaching its target counts as broken.
+constexpr int maxTries = 12;
+
+struct Packet {
+    Time due;
+    uint64_t order;
+    size_t to; // entry 0.., agent entryCount.., target entryCount + agentCount..
+    Endpoint from;
+    std::vector<uint8_t> bytes;
+    bool operator<(const Packet& other) const { return std::tie(other.due, other.order) < std::tie(due, order); }
+};
+
+class Fabric {
+public:
+    explicit Fabric(uint64_t seed)
+        : m_random(seed)
+    {
+        for (size_t i = 0; i < entryCount; ++i)
+            m_entries.push_back(std::make_unique<EntryNode>(*this, i));
+        for (size_t i = 0; i < agentCount; ++i) {
+            m_agents.push_back(std::make_unique<AgentNode>(*this, i));
+            m_targets.push_back({});
+            m_targets[i].service = services[i % 2];
+        }
+        applyRoutes();
+        for (size_t i = 0; i < agentCount; ++i)
+            beat(i);
+    }
+
+    std::string run()
+    {
+        for (int step = 0; step < 1500 && m_violation.empty(); ++step) {
+            m_clock.advance(stepLength);
+            if (m_random.below(4) == 0)
+                openFlow();
+            if (m_random.below(60) == 0)
+                disturb();
+            deliver();
+            for (auto& entry : m_entries)
+                entry->steering->onTick();
+            for (auto& agent : m_agents)
+                agent->steering->onTick();
+            if (step % 200 == 0) {
+                for (size_t i = 0; i < agentCount; ++i)
+                    beat(i);
+            }
+            shareRecords();
+            talk();
+        }
+        return m_violation;
+    }
+    size_t opened() const { return m_opened; }
+    size_t delivered() const { return m_delivered; }
+
+private:
+    struct Target {
+        ServiceKey service;
+        uint64_t born = 1;
+        uint64_t sequence = 0;
+        bool draining = false;
+        std::map<uint16_t, bool> flows; // by the caller's port; true: open
+    };
+    struct Flow {
+        FlowId id;
+        size_t target = SIZE_MAX; // that holds it
+        int tries = 0; // packets in a row that did not reach the target
+        Time nextPacket;
+        bool reset = false;
+        uint8_t copies = 0;
+    };
+    struct EntryNode final : EntryOutput, DecisionObserver {
+        EntryNode(Fabric& owner, size_t position)
+            : fabric(owner)
+            , index(position)
+        {
+            start();
+        }
+        void start()
+        {
+            EntryOptions options;
+            options.self = fabric.endpoint(index);
+            steering = std::make_unique<EntrySteering>(options, fabric.m_format, fabric.m_clock,
+                static_cast<DecisionObserver&>(*this), static_cast<EntryOutput&>(*this));
+        }
+        void sendFrame(Endpoint agent, const std::vector<uint8_t>& frame) override { fabric.send(index, agent, frame); }
+        void sendToCaller(const FlowId& flow, const std::vector<uint8_t>& packet) override
+        {
+            fabric.atCaller(flow, packet, SIZE_MAX);
+        }
+        void decided(Decision, const FlowId&, const DecisionInputs&) override { }
+        Fabric& fabric;
+        size_t index;
+        std::unique_ptr<EntrySteering> steering;
+    };
+    struct AgentNode final : AgentOutput, DecisionObserver {
+        AgentNode(Fabric& owner, size_t position)
+            : fabric(owner)
+            , index(position)
+        {
+            start();
+        }
+        void start()
+        {
+            AgentOptions options;
+            options.self = fabric.endpoint(entryCount + index);
+            options.dataCentre = "dc-" + std::to_string(index % 3);
+            options.incarnation = ++incarnation;
+            steering = std::make_unique<AgentSteering>(options, fabric.m_format, fabric.m_clock,
+                static_cast<DecisionObserver&>(*this), static_cast<AgentOutput&>(*this));
+        }
+        void sendFrame(Endpoint to, const std::vector<uint8_t>& frame) override
+        {
+            fabric.send(entryCount + index, to, frame);
+        }
+        void sendToTarget(const uint8_t* packet, size_t size) override
+        {
+            fabric.atTarget(index, { packet, packet + size });
+        }
+        void sendToCaller(const FlowId& flow, const uint8_t* packet, size_t size) override
+        {
+            fabric.atCaller(flow, { packet, packet + size }, index);
+        }
+        void decided(Decision, const FlowId&, const DecisionInputs&) override { }
+        Fabric& fabric;
+        size_t index;
+        uint64_t incarnation = 0;
+        std::unique_ptr<AgentSteering> steering;
+    };
+
+    Endpoint endpoint(size_t index) const { return { 0x0A000000 + static_cast<uint32_t>(index), 8172 }; }
+
+    void send(size_t from, Endpoint to, std::vector<uint8_t> bytes)
+    {
+        if (m_random.below(50) == 0)
+            return;
+        m_network.push({ m_clock.now() + std::chrono::milliseconds(m_random.below(4)), ++m_order,
+            to.address - 0x0A000000, endpoint(from), std::move(bytes) });
+    }
+    void deliver()
+    {
+        while (!m_network.empty() && m_network.top().due <= m_clock.now()) {
+            Packet packet = m_network.top();
+            m_network.pop();
+            if (packet.to < entryCount)
+                m_entries[packet.to]->steering->onFrame(packet.from, packet.bytes.data(), packet.bytes.size());
+            else
+                m_agents[packet.to - entryCount]->steering->onFrame(
+                    packet.from, packet.bytes.data(), packet.bytes.size());
+        }
+    }
+    void fromCaller(const FlowPacket& packet)
+    {
+        std::vector<uint8_t> bytes = FakeFormat::encode(packet);
+        m_entries[m_random.below(entryCount)]->steering->onCallerPacket(bytes.data(), bytes.size());
+    }
+    void openFlow()
+    {
+        Flow flow;
+        flow.id = { { 0x64400001, ++m_lastPort }, addresses[m_random.below(2)] };
+        m_flows[m_lastPort] = flow;
+        m_flows[m_lastPort].nextPacket = m_clock.now() + 200ms;
+        fromCaller(synPacket(flow.id));
+    }
+    // Callers repeat a SYN twice and then send data at intervals.
+    void talk()
+    {
+        for (auto& [port, flow] : m_flows) {
+            if (m_clock.now() < flow.nextPacket || flow.reset)
+                continue;
+            if (flow.target == SIZE_MAX) {
+                flow.nextPacket = m_clock.now() + 400ms;
+                if (++flow.copies <= 2)
+                    fromCaller(synPacket(flow.id, flow.copies));
+                else
+                    flow.reset = true;
+                continue;
+            }
+            flow.nextPacket = m_clock.now() + 200ms;
+            if (++flow.tries > maxTries)
+                m_violation = "flow " + std::to_string(port) + " no longer reaches its target";
+            fromCaller(dataPacket(flow.id, 20));
+        }
+    }
+    void atTarget(size_t index, std::vector<uint8_t> bytes)
+    {
+        FlowPacket packet;
+        std::memcpy(&packet, bytes.data(), sizeof(packet));
+        Target& target = m_targets[index];
+        auto flow = m_flows.find(packet.flow.caller.port);
+        if (flow == m_flows.end())
+            return;
+        if (packet.syn) {
+            if (!mayOpen(index, packet.flow))
+                m_violation = "a new flow at a target that must not take it";
+            target.flows.emplace(packet.flow.caller.port, false);
+            FlowPacket answer;
+            answer.flow = packet.flow;
+            answer.syn = answer.ack = true;
+            fromTarget(index, answer);
+            return;
+        }
+        bool open = flow->second.target == index && target.flows.count(packet.flow.caller.port) != 0;
+        if (open) {
+            ++m_delivered;
+            flow->second.tries = 0;
+            if (m_random.below(2) == 0) // an acknowledgement alone gets no answer
+                fromTarget(index, dataPacket(packet.flow, 30));
+            return;
+        }
+        packet.bounced = true;
+        fromTarget(index, packet);
+    }
+    void fromTarget(size_t index, const FlowPacket& packet)
+    {
+        std::vector<uint8_t> bytes = FakeFormat::encode(packet);
+        m_agents[index]->steering->onTargetPacket(bytes.data(), bytes.size());
+    }
+    void atCaller(const FlowId& id, const std::vector<uint8_t>& bytes, size_t index)
+    {
+        FlowPacket packet;
+        std::memcpy(&packet, bytes.data(), sizeof(packet));
+        auto found = m_flows.find(id.caller.port);
+        if (found == m_flows.end())
+            return;
+        Flow& flow = found->second;
+        if (packet.reset) {
+            bool held = flow.target != SIZE_MAX && m_targets[flow.target].flows.count(id.caller.port) != 0;
+            if (held)
+                m_violation = "an open flow was reset";
+            flow.reset = true;
+        } else if (packet.syn && flow.target == SIZE_MAX && !flow.reset) {
+            flow.target = index; // the caller acknowledges the first answer
+            m_targets[index].flows[id.caller.port] = true;
+            flow.nextPacket = m_clock.now();
+            ++m_opened;
+        }
+    }
+    bool mayOpen(size_t index, const FlowId& flow) const
+    {
+        const Target& target = m_targets[index];
+        if (target.draining || m_out.count("dc-" + std::to_string(index % 3)) != 0)
+            return false;
+        // Some configuration must have allowed it.
+        return m_everAllowed.count({ flow.service.address, target.service.value() }) != 0;
+    }
+    void applyRoutes()
+    {
+        std::vector<Route> routes;
+        for (size_t i = 0; i < 2; ++i) {
+            std::vector<WeightedService> weights;
+            for (ServiceKey service : services) {
+                uint32_t weight = m_everAllowed.empty() ? 1 : static_cast<uint32_t>(m_random.below(3));
+                if (weight > 0)
+                    weights.push_back({ service, weight });
+            }
+            if (weights.empty()) // a service that a route no longer names still holds its flows
+                weights.push_back({ services[m_random.below(2)], 1 });
+            for (const WeightedService& weight : weights)
+                m_everAllowed.insert({ addresses[i].address, weight.service.value() });
+            routes.push_back(routeOf(addresses[i], weights));
+        }
+        m_routes = RouteTable::successor(
+            m_routes, configurationOf(m_routes.version() + 1, std::move(routes), { "hub", "catalogue" }));
+        shareState();
+    }
+    // Entries hear of a state at different moments; agents refuse by their own state at once.
+    void shareState()
+    {
+        for (auto& agent : m_agents)
+            agent->steering->setState(m_routes, m_out);
+        for (auto& entry : m_entries) {
+            if (m_random.below(3) != 0 || !entry->steering->isReady())
+                entry->steering->setState(m_routes, m_out);
+        }
+    }
+    void shareRecords()
+    {
+        for (auto& entry : m_entries) {
+            for (auto& agent : m_agents) {
+                if (m_random.below(20) == 0)
+                    entry->steering->members().update(agent->steering->record());
+            }
+        }
+    }
+    void beat(size_t index)
+    {
+        Target& target = m_targets[index];
+        Heartbeat heartbeat;
+        heartbeat.id = "t-" + std::to_string(index);
+        heartbeat.service = target.service;
+        heartbeat.draining = target.draining;
+        heartbeat.born = target.born;
+        heartbeat.sequence = ++target.sequence;
+        heartbeat.slots = 3;
+        m_agents[index]->steering->onHeartbeat(heartbeat);
+    }
+    void disturb()
+    {
+        size_t agent = m_random.below(agentCount);
+        switch (m_random.below(7)) {
+        case 0: // the planned restart of an entry: empty, but with state and members before it is ready
+        {
+            EntryNode& entry = *m_entries[m_random.below(entryCount)];
+            entry.start();
+            entry.steering->setState(m_routes, m_out);
+            for (auto& other : m_agents)
+                entry.steering->members().update(other->steering->record());
+            break;
+        }
+        case 1:
+            m_agents[agent]->start();
+            m_agents[agent]->steering->setState(m_routes, m_out);
+            beat(agent);
+            break;
+        case 2:
+            m_targets[agent].draining = !m_targets[agent].draining;
+            if (!m_targets[agent].draining) {
+                m_targets[agent].born += 1; // ready again only as a new start
+                loseTarget(agent);
+            }
+            beat(agent);
+            break;
+        case 3: // crash; the address may go to another service
+            m_targets[agent].born += 1;
+            m_targets[agent].service = services[m_random.below(2)];
+            loseTarget(agent);
+            beat(agent);
+            break;
+        case 4:
+            applyRoutes();
+            break;
+        case 5:
+            if (m_out.empty())
+                m_out.insert("dc-" + std::to_string(m_random.below(3)));
+            else
+                m_out.clear();
+            shareState();
+            break;
+        default:
+            break;
+        }
+    }
+    void loseTarget(size_t index)
+    {
+        for (auto& [port, open] : m_targets[index].flows) {
+            auto found = m_flows.find(port);
+            if (found != m_flows.end() && found->second.target == index)
+                found->second.reset = true; // given up with its target
+        }
+        m_targets[index].flows.clear();
+    }
+
+    Random m_random;
+    ManualClock m_clock;
+    FakeFormat m_format;
+    std::vector<std::unique_ptr<EntryNode>> m_entries;
+    std::vector<std::unique_ptr<AgentNode>> m_agents;
+    std::vector<Target> m_targets;
+    std::map<uint16_t, Flow> m_flows;
+    std::priority_queue<Packet> m_network;
+    uint64_t m_order = 0;
+    uint16_t m_lastPort = 0;
+    RouteTable m_routes;
+    std::set<std::string> m_out;
+    std::set<std::pair<uint32_t, uint64_t>> m_everAllowed;
+    size_t m_opened = 0;
+    size_t m_delivered = 0;
+    std::string m_violation;
+};
+
+uint64_t numberFrom(const char* variable, uint64_t otherwise)
+{
+    const char* text = std::getenv(variable);
+    return text ? std::strtoull(text, nullptr, 10) : otherwise;
+}
+
+} // namespace
+
+TEST_CASE("open flows keep their targets under random faults", "[schedules]")
+{
+    uint64_t only = numberFrom("CICADAWARD_SEED", 0);
+    uint64_t first = only ? only : 1;
+    uint64_t count = only ? 1 : numberFrom("CICADAWARD_SCHEDULES", 1000);
+    size_t opened = 0;
+    size_t delivered = 0;
+    std::string failures;
+    for (uint64_t seed = first; seed < first + count; ++seed) {
+        Fabric fabric(seed);
+        std::string violation = fabric.run();
+        if (!violation.empty())
+            failures += "seed " + std::to_string(seed) + ": " + violation + "\n";
+        opened += fabric.opened();
+        delivered += fabric.delivered();
+    }
+    INFO(failures.substr(0, 2000));
+    CHECK(failures.empty());
+    CHECK(opened > 200 * count);
+    CHECK(delivered > 1000 * count);
+}
