Let voters find each other by their logs, and relays introduce them

Change: addresses are read from the stored log before anything is committed; members greet seeds that are no members; relays answer polls with what they know and pass on hellos. The schedules exchange seeds too.

--- a/daemons/flow_control_daemon.cc
+++ b/daemons/flow_control_daemon.cc
@@ -103,8 +103,7 @@
     }
     InstanceId instance = contents->instance;
     cluster::ControlOutput& output = *this;
-    m_core
-        = std::make_unique<cluster::ControlCore>(m_options, m_base.clock, m_base.random, std::move(*contents), output);
+    m_core = std::make_unique<cluster::ControlCore>(m_options, m_base.clock, m_base.random, *contents, output);
     if (isFounder)
         m_disk.write(0, std::move(founding)); // ahead of every batch of the machine, so nothing depends on it unwritten
     m_base.log->write(EventId::StoreReopened,
--- a/daemons/flow_relay_daemon.cc
+++ b/daemons/flow_relay_daemon.cc
@@ -2,6 +2,8 @@
 
 #include "cluster/codec.h"
 
+#include <algorithm>
+
 namespace cicadaward {
 
 namespace {
@@ -10,6 +12,8 @@
     // A leader that nobody has named for this long may have lost its office.
     constexpr Duration leaderLimit = std::chrono::seconds(2);
 
+    constexpr size_t maxGreeted = 64;
+
     cluster::PollerOptions pollerOptions(const Settings& settings)
     {
         cluster::PollerOptions options;
@@ -26,11 +30,7 @@
     , m_poller(pollerOptions(settings), base.clock, base.random, *this)
     , m_peers(
           base, endpointSetting(settings, "listen.peers"),
-          [this](Endpoint sender, const cluster::Envelope& envelope) {
-              cluster::PollReply reply;
-              if (envelope.kind == cluster::MessageKind::PollReply && decodeMessage(envelope.body, reply))
-                  m_poller.onReply(sender, reply);
-          },
+          [this](Endpoint sender, const cluster::Envelope& envelope) { onMessage(sender, envelope); },
           [](Endpoint, uint8_t*, size_t) {})
     , m_operators(base.context, endpointSetting(settings, "listen.operators"),
           [this](const HttpRequest& request, const HttpReply& reply) { onOperatorCall(request, reply); })
@@ -48,6 +48,46 @@
     return absl::OkStatus();
 }
 
+void FlowRelayDaemon::onMessage(Endpoint sender, const cluster::Envelope& envelope)
+{
+    cluster::PollReply reply;
+    cluster::Hello hello;
+    if (envelope.kind == cluster::MessageKind::PollReply && decodeMessage(envelope.body, reply)) {
+        m_poller.onReply(sender, reply);
+    } else if (envelope.kind == cluster::MessageKind::Poll) {
+        reply.controls = knownControls();
+        m_peers.send(sender, { cluster::MessageKind::PollReply, encodeMessage(reply) });
+    } else if (envelope.kind == cluster::MessageKind::Hello && decodeMessage(envelope.body, hello)) {
+        onHello(sender, hello);
+    }
+}
+
+void FlowRelayDaemon::onHello(Endpoint sender, cluster::Hello hello)
+{
+    if (m_greeted.size() >= maxGreeted)
+        m_greeted.clear();
+    m_greeted[hello.instance] = hello.address;
+    m_poller.learn(knownControls());
+    if (hello.forwarded)
+        return;
+    hello.forwarded = true;
+    for (Endpoint control : knownControls()) {
+        if (control != sender)
+            m_peers.send(control, { cluster::MessageKind::Hello, encodeMessage(hello) });
+    }
+}
+
+std::vector<Endpoint> FlowRelayDaemon::knownControls() const
+{
+    std::vector<Endpoint> controls = m_poller.controls();
+    for (const auto& [id, address] : m_greeted) {
+        if (std::find(controls.begin(), controls.end(), address.peer) == controls.end())
+            controls.push_back(address.peer);
+    }
+    controls.resize(std::min(controls.size(), cluster::maxControls));
+    return controls;
+}
+
 void FlowRelayDaemon::takeLeader(Endpoint operators, uint64_t term)
 {
     if (term < m_term)
--- a/daemons/flow_relay_daemon.h
+++ b/daemons/flow_relay_daemon.h
@@ -1,11 +1,14 @@
-// A control instance without a disk: it keeps nothing, votes on nothing, and sends operators to the leader that the
-// other control instances name.
+// A control instance without a disk: it keeps nothing and votes on nothing. It sends operators to the leader that the
+// other control instances name, tells pollers of those instances, and passes on the hellos of instances that want to
+// join, since it may be all that their seeds name.
 #pragma once
 
 #include "cluster/poller.h"
 #include "flow_adapter.h"
 #include "flow_daemon.h"
 
+#include <map>
+
 namespace cicadaward {
 
 class FlowRelayDaemon final : private cluster::PollerOutput {
@@ -25,6 +28,10 @@
     std::vector<steering::MemberRecord> ownRecords() override { return {}; }
     void contactLost() override;
     void contactRenewed() override;
+    void onMessage(Endpoint sender, const cluster::Envelope&);
+    // Control instances that have shown themselves or that others name.
+    std::vector<Endpoint> knownControls() const;
+    void onHello(Endpoint sender, cluster::Hello);
     void onOperatorCall(const HttpRequest&, const HttpReply&);
 
     FlowDaemonBase& m_base;
@@ -36,6 +43,7 @@
     Endpoint m_leader; // port 0: unknown
     uint64_t m_term = 0;
     Time m_leaderHeard;
+    std::map<InstanceId, cluster::InstanceAddress> m_greeted; // bounded by maxGreeted
 };
 
 } // namespace cicadaward
--- a/libs/cluster/control_core.cc
+++ b/libs/cluster/control_core.cc
@@ -15,16 +15,34 @@
 } // namespace
 
 ControlCore::ControlCore(
-    ControlOptions options, const Clock& clock, Random& random, StoreContents contents, ControlOutput& output)
+    ControlOptions options, const Clock& clock, Random& random, const StoreContents& contents, ControlOutput& output)
     : m_options(std::move(options))
     , m_clock(clock)
     , m_output(output)
-    , m_raft(m_options.consensus, clock, random, std::move(contents))
+    , m_raft(m_options.consensus, clock, random, contents)
     , m_members(clock, random.next())
     , m_group(m_options.group, clock)
     , m_nextHello(clock.now())
+    , m_nextSeedHello(clock.now())
     , m_nextGroupLook(clock.now())
 {
+    learnAddresses(contents);
+}
+
+// Nothing is applied before a leader commits, but the voters must find each other to elect one, and the seeds may name
+// other instances by now. Addresses are hints, so entries that are not committed serve as well.
+void ControlCore::learnAddresses(const StoreContents& contents)
+{
+    State stored;
+    stored.decode(contents.snapshot.data);
+    for (const LogEntry& entry : contents.entries) {
+        Command command;
+        if (entry.kind == EntryKind::Command && decodeMessage(entry.data, command)
+            && command.kind == CommandKind::SetInstance)
+            stored.apply(entry.index, command);
+    }
+    for (const auto& [id, address] : stored.instances())
+        m_seen[id] = address.peer;
 }
 
 void ControlCore::onTick()
@@ -317,8 +335,10 @@
     bool registered = own != m_state.instances().end() && own->second == m_options.self;
     raft::RaftStatus status = m_raft.status();
     bool served = status.leader != InstanceId();
-    if (registered && status.voter && served)
+    if (registered && status.voter && served) {
+        greetSeeds();
         return;
+    }
     Hello hello { m_raft.self(), m_options.self, false };
     if (m_raft.isLeader()) {
         m_group.onHello(hello);
@@ -331,6 +351,22 @@
     }
 }
 
+// An instance without a disk, or one that lost its disk, may be all that a process finds in its seeds. Such seeds learn
+// of the group from its members.
+void ControlCore::greetSeeds()
+{
+    if (m_clock.now() < m_nextSeedHello)
+        return;
+    m_nextSeedHello = m_clock.now() + m_options.seedInterval;
+    for (Endpoint seed : m_options.seeds) {
+        bool member = std::any_of(m_state.instances().begin(), m_state.instances().end(),
+            [&](const auto& instance) { return instance.second.peer == seed; });
+        if (!member)
+            m_output.sendMessage(
+                seed, { MessageKind::Hello, encodeMessage(Hello { m_raft.self(), m_options.self, false }) });
+    }
+}
+
 std::optional<Endpoint> ControlCore::addressOf(InstanceId id) const
 {
     auto registered = m_state.instances().find(id);
@@ -352,6 +388,10 @@
     };
     for (const auto& [id, address] : m_state.instances())
         add(address.peer);
+    for (const auto& [id, endpoint] : m_seen) {
+        if (m_state.instances().empty())
+            add(endpoint);
+    }
     for (Endpoint seed : m_options.seeds)
         add(seed);
     return controls;
--- a/libs/cluster/control_core.h
+++ b/libs/cluster/control_core.h
@@ -34,6 +34,7 @@
     std::map<InstanceId, InstanceAddress> founders; // the group of the first start
     Duration orderLimit = std::chrono::seconds(3); // an order that is not committed by then is answered "unavailable"
     Duration helloInterval = std::chrono::milliseconds(400);
+    Duration seedInterval = std::chrono::seconds(2); // between two hellos to seeds that are no members of the group
     Duration groupInterval = std::chrono::milliseconds(200); // between two looks at the membership
     LogIndex snapshotEntries = 256; // applied entries between two snapshots
     GroupOptions group;
@@ -76,7 +77,7 @@
 
 class ControlCore {
 public:
-    ControlCore(ControlOptions, const Clock&, Random&, StoreContents, ControlOutput&);
+    ControlCore(ControlOptions, const Clock&, Random&, const StoreContents&, ControlOutput&);
 
     void onTick(); // about every 25 ms
     void onMessage(Endpoint sender, const Envelope&);
@@ -116,7 +117,9 @@
     void onHello(Hello);
     void onPoll(Endpoint sender, const Poll&);
     void tendGroup();
+    void learnAddresses(const StoreContents&);
     void sayHello();
+    void greetSeeds();
     std::optional<Endpoint> addressOf(InstanceId) const;
     Endpoint operatorsOf(InstanceId) const;
     std::vector<Endpoint> knownControls() const;
@@ -128,7 +131,7 @@
     State m_state;
     MemberTable m_members;
     Group m_group;
-    std::map<InstanceId, Endpoint> m_seen; // addresses from which consensus messages came
+    std::map<InstanceId, Endpoint> m_seen; // addresses from which consensus messages came, or that the log names
     std::map<LogIndex, Order> m_orders; // accepted, not yet committed
     std::deque<raft::RaftAction> m_actions; // not performed yet
     bool m_performing = false;
@@ -136,6 +139,7 @@
     LogIndex m_lastSnapshot = 0;
     uint64_t m_nextChange = 0; // numbers of the machine's own requests, from ownRequests
     Time m_nextHello;
+    Time m_nextSeedHello;
     Time m_nextGroupLook;
     std::string m_forwarding; // encoded ForwardingState of m_forwardingIndex
     LogIndex m_forwardingIndex = 0;
--- a/libs/cluster/group_simulation.cc
+++ b/libs/cluster/group_simulation.cc
@@ -31,6 +31,12 @@
     }
 
     void found(const std::vector<InstanceId>& founders) { writeToDisk(raft::bootstrapBatch(founders)); }
+    // The settings of a later start may name other instances, and no founders.
+    void turnSeedsOver(std::vector<Endpoint> seeds)
+    {
+        m_options.seeds = std::move(seeds);
+        m_options.founders.clear();
+    }
     void start()
     {
         m_pending.clear();
@@ -107,7 +113,7 @@
 
     GroupSimulation& m_simulation;
     const size_t m_index;
-    const ControlOptions m_options;
+    ControlOptions m_options;
     StoreContents m_disk;
     std::vector<Batch> m_pending;
     Duration m_diskDelay = std::chrono::milliseconds(5);
@@ -259,7 +265,15 @@
 {
     size_t index = m_random.below(m_instances.size());
     Instance& instance = *m_instances[index];
-    switch (m_random.below(12)) {
+    switch (m_random.below(13)) {
+    case 11: { // seeds are exchanged for two members, of which one may be down, and an address where nobody answers
+        if (!isRepaired())
+            break;
+        std::vector<Endpoint> seeds { endpointOf(index), endpointOf((index + 1) % m_instances.size()), { 1, 1 } };
+        for (auto& other : m_instances)
+            other->turnSeedsOver(seeds);
+        break;
+    }
     case 0:
     case 1:
         if (instance.isUp())
--- a/libs/cluster/poller.h
+++ b/libs/cluster/poller.h
@@ -54,6 +54,8 @@
     void onReply(Endpoint sender, const PollReply&);
     // Polls all control instances at once: at the start and after a change of the own record.
     void pollAll();
+    // Control instances that were learned in another way. They count until a reply with a state names others.
+    void learn(const std::vector<Endpoint>& controls) { learn(0, controls); }
 
     LogIndex stateIndex() const { return m_stateIndex; }
     bool inContact() const { return m_inContact; }
