--- a/libs/steering/steering_schedule_test.cc
+++ b/libs/steering/steering_schedule_test.cc
@@ -74,6 +74,11 @@
                 for (size_t i = 0; i < agentCount; ++i)
                     beat(i);
             }
+            // An entry is behind for 400 ms at most: its next poll brings the state.
+            if (step % 80 == 0) {
+                for (auto& entry : m_entries)
+                    entry->steering->setState(m_routes, m_out);
+            }
             shareRecords();
             talk();
         }
