--- a/libs/steering/test_fabric.h
+++ b/libs/steering/test_fabric.h
@@ -103,7 +103,8 @@
     return packet;
 }
 
-inline Configuration configurationOf(uint64_t version, std::vector<Route> routes, std::vector<std::string> services)
+inline Configuration configurationOf(
+    uint64_t version, std::vector<Route> routes, const std::vector<std::string>& services)
 {
     Configuration configuration;
     configuration.version = version;
