Confirm reads by a quorum and elect at once when a group starts

Cause: after a restart of all, voters waited out a lease of 400 ms and candidates another 0 to 400 ms before the first election; the lease was needed for reads only. Change: a read waits until a quorum has answered a message sent after it arrived, evacuation orders always take the log, and with leaseReads off a group that starts elects within 200 ms.

--- a/daemons/flow_control_daemon.cc
+++ b/daemons/flow_control_daemon.cc
@@ -33,6 +33,7 @@
         options.consensus.electionTimeout = settings.duration("raft.election-timeout-ms");
         options.consensus.heartbeatInterval = options.consensus.electionTimeout / 8;
         options.consensus.promoteLearners = false; // Group decides
+        options.consensus.leaseReads = false; // ControlCore confirms each read
         options.consensus.messageBytes = 64 << 10;
         return options;
     }
--- a/libs/cluster/control_core.cc
+++ b/libs/cluster/control_core.cc
@@ -49,6 +49,7 @@
 {
     perform(m_raft.handle(raft::Tick {}));
     expireOrders(false);
+    answerConfirmed();
     Time now = m_clock.now();
     if (now >= m_nextGroupLook) {
         m_nextGroupLook = now + m_options.groupInterval;
@@ -69,6 +70,7 @@
             return;
         m_seen[message.from] = sender;
         perform(m_raft.handle(raft::MessageReceived { std::move(message) }));
+        answerConfirmed();
     } else if (envelope.kind == MessageKind::Poll) {
         Poll poll;
         if (decodeMessage(envelope.body, poll))
@@ -123,8 +125,8 @@
 {
     if (redirect(request))
         return;
-    if (m_raft.canRead() && configuration.version <= m_state.routes().version()) {
-        m_output.answer(request, { AnswerKind::Done, "", {}, "" });
+    if (configuration.version <= m_state.routes().version()) {
+        confirm(request, false);
         return;
     }
     Command command;
@@ -138,13 +140,8 @@
 {
     if (redirect(request))
         return;
-    // An order that expired may still be in the log and take force later, so the state alone says nothing while entries
-    // are not committed.
-    raft::RaftStatus status = m_raft.status();
-    if (status.commit == status.last && m_raft.canRead() && (m_state.out().count(dataCentre) != 0) == out) {
-        m_output.answer(request, { AnswerKind::Done, "", {}, "" });
-        return;
-    }
+    // Always through the log: an expired order of the opposite content may still be in it and take force later, so the
+    // state alone does not show what the outcome is.
     Command command;
     command.kind = CommandKind::SetDataCentre;
     command.dataCentre = dataCentre;
@@ -154,12 +151,33 @@
 
 void ControlCore::readConfiguration(RequestNumber request)
 {
-    if (redirect(request))
-        return;
-    if (m_raft.canRead() && !m_state.text().empty())
-        m_output.answer(request, { AnswerKind::Configuration, m_state.text(), {}, "" });
-    else
-        m_output.answer(request, { AnswerKind::Unavailable, "", {}, "the newest configuration is not certain" });
+    if (!redirect(request))
+        confirm(request, true);
+}
+
+void ControlCore::confirm(RequestNumber request, bool read)
+{
+    m_confirmations.push_back({ request, m_clock.now(), read });
+    answerConfirmed();
+}
+
+void ControlCore::answerConfirmed()
+{
+    while (!m_confirmations.empty()) {
+        const Confirmation waiting = m_confirmations.front();
+        Answer answer;
+        answer.reason = "the newest configuration is not certain";
+        bool confirmed = m_raft.canRead() && m_raft.quorumTime() >= waiting.arrived;
+        bool late = !m_raft.isLeader() || m_clock.now() - waiting.arrived > m_options.readLimit;
+        if (!confirmed && !late)
+            return;
+        if (confirmed && !waiting.read)
+            answer = { AnswerKind::Done, "", {}, "" };
+        else if (confirmed && !m_state.text().empty())
+            answer = { AnswerKind::Configuration, m_state.text(), {}, "" };
+        m_confirmations.pop_front();
+        m_output.answer(waiting.request, answer);
+    }
 }
 
 void ControlCore::propose(RequestNumber request, const Command& command)
--- a/libs/cluster/control_core.h
+++ b/libs/cluster/control_core.h
@@ -8,9 +8,9 @@
 //     core.putConfiguration(request, configuration, text); // answered by output.answer(request, ...)
 //     core.onPersisted(ticket);
 //
-// An order is acknowledged when a majority has made it durable, or when the state, read under the leader's lease,
-// already contains it. A read is answered under the lease only; anything else is a redirect to the leader or
-// "unavailable".
+// An order is acknowledged when a majority has made it durable, or when the state already contains it and the leader
+// has confirmed that it leads. A read is answered once a quorum has answered a message that the leader sent after the
+// read arrived, so it rests on no clock; anything else is a redirect to the leader or "unavailable".
 #pragma once
 
 #include "cluster/group.h"
@@ -33,6 +33,7 @@
     std::vector<Endpoint> seeds; // control datagram endpoints of other instances
     std::map<InstanceId, InstanceAddress> founders; // the group of the first start
     Duration orderLimit = std::chrono::seconds(3); // an order that is not committed by then is answered "unavailable"
+    Duration readLimit = std::chrono::milliseconds(800); // a read that is not confirmed by then is "unavailable"
     Duration helloInterval = std::chrono::milliseconds(400);
     Duration seedInterval = std::chrono::seconds(2); // between two hellos to seeds that are no members of the group
     Duration groupInterval = std::chrono::milliseconds(200); // between two looks at the membership
@@ -99,7 +100,16 @@
         Time deadline;
     };
 
+    // An answer that waits until the leader is known to have led after the request arrived.
+    struct Confirmation {
+        RequestNumber request;
+        Time arrived;
+        bool read = false; // else an order that the state contains already
+    };
+
     bool redirect(RequestNumber);
+    void confirm(RequestNumber, bool read);
+    void answerConfirmed();
     void propose(RequestNumber, const Command&);
     void perform(std::vector<raft::RaftAction>);
     void on(raft::SendMessage&);
@@ -133,6 +143,7 @@
     Group m_group;
     std::map<InstanceId, Endpoint> m_seen; // addresses from which consensus messages came, or that the log names
     std::map<LogIndex, Order> m_orders; // accepted, not yet committed
+    std::deque<Confirmation> m_confirmations; // in the order of their arrival
     std::deque<raft::RaftAction> m_actions; // not performed yet
     bool m_performing = false;
     LogIndex m_applied = 0;
--- a/libs/cluster/group_simulation.cc
+++ b/libs/cluster/group_simulation.cc
@@ -129,6 +129,7 @@
     options.consensus.electionTimeout = std::chrono::milliseconds(400);
     options.consensus.heartbeatInterval = std::chrono::milliseconds(50);
     options.consensus.promoteLearners = false;
+    options.consensus.leaseReads = false;
     options.snapshotEntries = 8 + m_random.below(30);
     std::vector<InstanceId> voters;
     for (size_t i = 0; i < founders; ++i) {
--- a/libs/raft/raft.cc
+++ b/libs/raft/raft.cc
@@ -27,7 +27,8 @@
     , m_random(random)
     , m_self(contents.instance)
     , m_state(contents.state)
-    , m_leaderContact(clock.now()) // the last contact before a restart is unknown, so assume that it was just now
+    // The last contact before a restart is unknown; a lease must be assumed to have been renewed just now.
+    , m_leaderContact(options.leaseReads ? clock.now() : clock.now() - options.electionTimeout)
 {
     const LogSnapshot& snapshot = contents.snapshot;
     m_log.reset(
--- a/libs/raft/raft.h
+++ b/libs/raft/raft.h
@@ -44,6 +44,10 @@
     size_t retainedEntries = 256; // kept in memory behind a snapshot, for followers that lag a little
     size_t heldMessages = 1024; // messages that wait for Persisted; more are dropped
     size_t instances = 15; // voters and learners
+    // True: canRead() alone permits a read, so an instance that starts must not vote for an election timeout, since it
+    // may have been in contact with a leader just before. False: the caller waits for quorumTime() to pass the moment
+    // at which a read arrived, and a group that starts elects a leader at once.
+    bool leaseReads = true;
     bool promoteLearners = true; // the leader makes a learner a voter as soon as it has caught up
 };
 
@@ -200,6 +204,7 @@
     LogIndex m_commit = 0;
     LogIndex m_applied = 0;
     Time m_electionDeadline;
+    bool m_sawLeader = false; // since the start of this process
     Time m_leaderContact; // no vote for another instance within the election timeout after this
     std::set<InstanceId> m_votes;
     uint64_t m_voteTicket = 0; // batch with the own vote
--- a/libs/raft/raft_election.cc
+++ b/libs/raft/raft_election.cc
@@ -7,8 +7,10 @@
 
 void Raft::restartElectionTimer()
 {
-    auto extra = static_cast<Duration::rep>(m_random.below(static_cast<uint64_t>(m_options.electionTimeout.count())));
-    m_electionDeadline = m_clock.now() + m_options.electionTimeout + Duration(extra);
+    // A group that starts has no leader to disturb; a running one answers a pre-vote with a refusal.
+    Duration shortest = m_options.leaseReads || m_sawLeader ? m_options.electionTimeout : m_options.electionTimeout / 4;
+    auto extra = static_cast<Duration::rep>(m_random.below(static_cast<uint64_t>(shortest.count())));
+    m_electionDeadline = m_clock.now() + shortest + Duration(extra);
 }
 
 // An instance that an uncommitted change removes may hold the longest log of all, and the others cannot elect anyone
--- a/libs/raft/raft_replication.cc
+++ b/libs/raft/raft_replication.cc
@@ -128,6 +128,7 @@
     if (term > m_state.term || m_leader != from || m_role != RaftRole::Follower)
         becomeFollower(term, from);
     m_leaderContact = m_clock.now();
+    m_sawLeader = true;
     restartElectionTimer();
     return true;
 }
