Give no new flow to a target whose heartbeat is overdue or that answers nothing

Change: an agent admits only while the last heartbeat is younger than the time of reuse, and a target that answered no SYN waits for its next packet or heartbeat.

--- a/daemons/flow_agent_daemon.cc
+++ b/daemons/flow_agent_daemon.cc
@@ -9,6 +9,7 @@
     constexpr Duration tickInterval = std::chrono::milliseconds(25);
     // Heartbeats that may be missing before the target counts as gone.
     constexpr int missedHeartbeats = 4;
+    constexpr Duration reuseMargin = std::chrono::milliseconds(100);
     constexpr double percent = 100;
 
     steering::AgentOptions agentOptions(const FlowDaemonBase& base, const Settings& settings)
@@ -17,6 +18,10 @@
         options.self = endpointSetting(settings, "listen.fabric");
         options.dataCentre = base.dataCentre;
         options.incarnation = static_cast<uint64_t>(base.clock.wallTime().count());
+        // Less than the time of reuse, but at least a heartbeat and a quarter: heartbeats come a little late at times.
+        Duration heartbeat = settings.duration("target.heartbeat-ms");
+        options.heartbeatFreshness
+            = std::max<Duration>(settings.duration("target.reuse-ms") - reuseMargin, heartbeat + heartbeat / 4);
         options.maxFlows = static_cast<size_t>(settings.number("limits.max-flows"));
         options.heartbeatSilence = missedHeartbeats * settings.duration("target.heartbeat-ms");
         options.warmUpFactor = double(settings.number("warm-up.factor-percent")) / percent;
--- a/libs/settings/flow_settings.cc
+++ b/libs/settings/flow_settings.cc
@@ -60,6 +60,8 @@
         { "target.packets", SettingType::Endpoint, "", nullptr, 0, 0, "UDP endpoint of the target" },
         { "target.heartbeat-ms", SettingType::Milliseconds, "ms", "1200", 10, maxMs,
             "time between two heartbeats; after four without one the target counts as gone" },
+        { "target.reuse-ms", SettingType::Milliseconds, "ms", "2000", 10, maxMs,
+            "shortest time until the address of a target that has ended may go to another service's target" },
         pollInterval,
         { "limits.max-flows", SettingType::Number, "flows", "16384", 16, 1 << 24, "most flows held" },
         { "warm-up.factor-percent", SettingType::Number, "%", "100", 1, 10000,
--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -57,7 +57,7 @@
     HeartbeatResult result = m_registration.onHeartbeat(heartbeat);
     if (result == HeartbeatResult::NewTarget && m_registration.sawStart())
         loseFlows();
-    if (result == HeartbeatResult::NewTarget)
+    if (result != HeartbeatResult::Outdated)
         m_unansweredInRow = 0;
     return result;
 }
@@ -138,8 +138,10 @@
     size_t maxFlows = policy && policy->maxFlows != 0 ? policy->maxFlows : m_options.maxFlows;
     if (m_flows.size() >= std::min(maxFlows, m_options.maxFlows))
         return "flow limit";
-    if (m_unansweredInRow >= silentOffers && m_clock.now() - m_lastOffer < m_options.offerRetry)
-        return "target does not answer";
+    if (m_unansweredInRow >= silentOffers)
+        return "target does not answer"; // until its next packet or heartbeat
+    if (m_registration.age() > m_options.heartbeatFreshness)
+        return "heartbeat is overdue";
     if (isWarmUpSpent())
         return "warm-up budget is spent";
     return nullptr;
@@ -206,7 +208,6 @@
     if (m_unanswered.size() < maxUnanswered)
         m_unanswered.emplace_back(now, packet.flow);
     m_coldOffers.push_back(now);
-    m_lastOffer = now;
     frame.compare = false;
     giveToTarget(frame, data, size);
     m_observer.decided(Decision::Accepted, packet.flow, { frame.entry, "", m_routes.version(), ownLoad });
--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -33,10 +33,12 @@
     size_t maxFlows = 16384;
     size_t bounceWindow = 1024; // packets given to the target whose frames are kept for a bounce
     Duration heartbeatSilence = std::chrono::milliseconds(4800); // four heartbeats
+    // A target whose last heartbeat is older gets no new flow: it may have ended, and its address may have gone to a
+    // target of another service that has not sent a heartbeat yet.
+    Duration heartbeatFreshness = std::chrono::milliseconds(1900);
     Duration offerTimeout = std::chrono::milliseconds(250); // a target that has not answered a SYN by then is slow
     Duration bounceTimeout
         = std::chrono::milliseconds(25); // a target that has not bounced a packet by then holds the flow
-    Duration offerRetry = std::chrono::milliseconds(500); // a target that answers no SYN gets one this often
     double warmUpFactor = 1; // a cold target gets rate x factor + slack new flows a second
     double warmUpSlack = 0;
     Duration closedRetention = std::chrono::seconds(4);
@@ -124,8 +126,7 @@
     size_t m_closing = 0; // flows of which an end has closed
     std::deque<std::pair<Time, FlowId>> m_unanswered; // SYNs at the target, oldest first
     std::deque<std::pair<Time, FlowId>> m_unconfirmed; // deliveries of unseen flows, oldest first
-    unsigned m_unansweredInRow = 0;
-    Time m_lastOffer;
+    unsigned m_unansweredInRow = 0; // since the last packet or heartbeat of the target
     std::deque<Time> m_coldOffers; // of the last second
     std::vector<Marked> m_marked; // ring, by mark
     uint32_t m_lastMark = 0;
--- a/libs/steering/target_registration.h
+++ b/libs/steering/target_registration.h
@@ -47,6 +47,8 @@
     bool onDeparture(const std::string& id);
 
     TargetState state() const;
+    // Time since the newest heartbeat. Only meaningful once there was one.
+    Duration age() const { return m_clock.now() - m_lastHeartbeat; }
     // The newest heartbeat, also of a target that is gone.
     const std::optional<Heartbeat>& target() const { return m_target; }
     // True when this process has been running since before the target started, so it has seen all of its flows.
