Reset only flows that were open at the target that ended

Change: only flows of which the target has sent more than the answer to the SYN count as lost with it.

--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -64,13 +64,24 @@
 
 bool AgentSteering::onDeparture(const std::string& id) { return m_registration.onDeparture(id); }
 
+// Only flows that were open at the ended target may be reset later. One that was merely offered, or whose SYN was
+// answered by several targets, may be open at another.
 void AgentSteering::loseFlows()
 {
-    for (auto& [id, flow] : m_flows) {
-        flow.lost = true;
-        flow.working = false;
+    for (auto i = m_flows.begin(); i != m_flows.end();) {
+        Flow& flow = i->second;
+        if (flow.established) {
+            flow.lost = true;
+            flow.working = false;
+            ++i;
+            continue;
+        }
+        if (flow.callerClosed || flow.targetClosed)
+            --m_closing;
+        m_flows.erase(i++);
     }
     m_unanswered.clear();
+    m_unconfirmed.clear();
     m_work.reset();
 }
 
@@ -317,6 +328,7 @@
     Flow& flow = found->second;
     flow.lastPacket = m_clock.now();
     flow.lost = false;
+    flow.established = flow.established || !packet->syn;
     if (!flow.answered) {
         flow.answered = true;
         m_unanswered.erase(std::remove_if(m_unanswered.begin(), m_unanswered.end(),
--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -82,6 +82,7 @@
         Time lastPacket;
         Endpoint entry; // port 0, or the entry that waits for Located
         bool answered = false; // the target has sent a packet of the flow
+        bool established = false; // the target has sent more than the answer to the SYN: the caller chose this target
         bool working = false; // a request is at the target and its answer has not begun
         bool callerClosed = false;
         bool targetClosed = false;
--- a/libs/steering/steering_test.cc
+++ b/libs/steering/steering_test.cc
@@ -617,6 +617,28 @@
     CHECK(fixture.output.toCaller.size() == answers + 1);
 }
 
+// Soak seeds 16, 23 and 26: a target ended before it answered a SYN, a copy of the SYN opened the flow at another
+// target, and the agent of the first one reset it.
+TEST_CASE("agent: a flow that was not open at the ended target is passed on, not reset", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.ready();
+    fixture.offer(flowNumber(1));
+    SECTION("the SYN was not answered") { }
+    SECTION("the SYN was answered, and perhaps by another target too")
+    {
+        FlowPacket answer = dataPacket(flowNumber(1), 0);
+        answer.syn = true;
+        fixture.targetSends(answer);
+    }
+    fixture.beat("t-1", 200);
+    size_t answers = fixture.output.toCaller.size();
+    fixture.frame(
+        FrameKind::Deliver, dataPacket(flowNumber(1)), { AgentFixture::options().self, memberNumber(2).agent });
+    CHECK(fixture.output.toCaller.size() == answers);
+    CHECK(fixture.output.frames.back().to == memberNumber(2).agent);
+}
+
 TEST_CASE("agent: a cold target gets its budget of new flows in any second, also after an evacuation", "[agent]")
 {
     AgentFixture fixture;
