--- a/libs/cluster/control_core.h
+++ b/libs/cluster/control_core.h
@@ -143,7 +143,7 @@
     Group m_group;
     std::map<InstanceId, Endpoint> m_seen; // addresses from which consensus messages came, or that the log names
     std::map<LogIndex, Order> m_orders; // accepted, not yet committed
-    std::deque<Confirmation> m_confirmations; // in the order of their arrival
+    std::deque<Confirmation> m_confirmations; // in the order of their arrival; bounded by the caller's open requests
     std::deque<raft::RaftAction> m_actions; // not performed yet
     bool m_performing = false;
     LogIndex m_applied = 0;
--- /dev/null
+++ b/libs/steering/agent_steering_test.cc
@@ -0,0 +1,363 @@
+#include "steering/test_fabric.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cicadaward;
+using namespace cicadaward::steering;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct AgentFixture {
+    ManualClock clock;
+    FakeFormat format;
+    CountingObserver observer;
+    RecordingOutput output;
+    AgentSteering agent { options(), format, clock, observer, output };
+    uint64_t beats = 0;
+
+    static AgentOptions options()
+    {
+        AgentOptions result;
+        result.self = memberNumber(1).agent;
+        result.dataCentre = "east";
+        result.incarnation = 1;
+        result.warmUpFactor = 1.5;
+        result.warmUpSlack = 5;
+        return result;
+    }
+    void ready()
+    {
+        agent.setState(hubTable(), {});
+        beat();
+    }
+    HeartbeatResult beat(
+        const std::string& id = "t-1", uint64_t born = 100, bool draining = false, std::chrono::milliseconds cold = 0ms)
+    {
+        Heartbeat heartbeat;
+        heartbeat.id = id;
+        heartbeat.service = hub;
+        heartbeat.dataCentre = "east";
+        heartbeat.draining = draining;
+        heartbeat.warmUpLeft = cold;
+        heartbeat.born = born;
+        heartbeat.sequence = ++beats;
+        heartbeat.slots = 2;
+        return agent.onHeartbeat(heartbeat);
+    }
+    void frame(FrameKind kind, const FlowPacket& head, std::vector<Endpoint> members, bool compare = false)
+    {
+        Frame frame;
+        frame.kind = kind;
+        frame.compare = compare;
+        frame.next = 1;
+        frame.service = kind == FrameKind::Offer ? hub : ServiceKey();
+        frame.entry = entryEndpoint;
+        frame.members.assign(members.begin(), members.end());
+        send(frame, head);
+    }
+    void send(const Frame& frame, const FlowPacket& head)
+    {
+        std::vector<uint8_t> packet = FakeFormat::encode(head);
+        std::vector<uint8_t> bytes;
+        encodeFrame(frame, packet.data(), packet.size(), bytes);
+        agent.onFrame(entryEndpoint, bytes.data(), bytes.size());
+    }
+    void offer(const FlowId& flow) { frame(FrameKind::Offer, synPacket(flow), { options().self }); }
+    void targetSends(FlowPacket head)
+    {
+        std::vector<uint8_t> bytes = FakeFormat::encode(head);
+        agent.onTargetPacket(bytes.data(), bytes.size());
+    }
+    // The target returns the packet that it got last.
+    void bounce()
+    {
+        REQUIRE(!output.toTarget.empty());
+        FlowPacket packet;
+        std::memcpy(&packet, output.toTarget.back().bytes.data(), sizeof(packet));
+        packet.bounced = true;
+        targetSends(packet);
+    }
+    Frame lastFrame() const
+    {
+        Frame frame;
+        REQUIRE(!output.frames.empty());
+        REQUIRE(decodeFrame(output.frames.back().bytes.data(), output.frames.back().bytes.size(), frame));
+        return frame;
+    }
+};
+
+} // namespace
+
+TEST_CASE("agent: nothing is admitted before state and heartbeat", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.offer(flowNumber(1));
+    CHECK(fixture.output.toTarget.empty());
+    CHECK(fixture.lastFrame().kind == FrameKind::Returned);
+    CHECK(fixture.lastFrame().mayRecover);
+    fixture.agent.setState(hubTable(), {});
+    fixture.offer(flowNumber(1));
+    CHECK(fixture.output.toTarget.empty());
+    fixture.beat();
+    fixture.offer(flowNumber(1));
+    CHECK(fixture.output.toTarget.size() == 1);
+}
+
+TEST_CASE("agent: draining, evacuation and another service's frames stop new flows and keep open ones", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.ready();
+    fixture.offer(flowNumber(1));
+    fixture.targetSends(dataPacket(flowNumber(1), 0));
+    CHECK(fixture.output.toCaller.size() == 1);
+    size_t atTarget = fixture.output.toTarget.size();
+
+    SECTION("draining") { fixture.beat("t-1", 100, true); }
+    SECTION("evacuated") { fixture.agent.setState(hubTable(2), { "east" }); }
+    SECTION("departed") { fixture.agent.onDeparture("t-1"); }
+    SECTION("silent") { fixture.clock.advance(5s); }
+    fixture.offer(flowNumber(2));
+    CHECK(fixture.output.toTarget.size() == atTarget);
+    CHECK(fixture.lastFrame().kind == FrameKind::Returned);
+    CHECK_FALSE(fixture.lastFrame().mayRecover);
+    fixture.frame(FrameKind::Deliver, dataPacket(flowNumber(1)), { AgentFixture::options().self });
+    CHECK(fixture.output.toTarget.size() == atTarget + 1);
+}
+
+TEST_CASE("agent: an offer for another service is passed on, never given to the target", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.ready();
+    Frame frame;
+    frame.kind = FrameKind::Offer;
+    frame.next = 1;
+    frame.service = catalogue;
+    frame.entry = entryEndpoint;
+    frame.members = { AgentFixture::options().self, memberNumber(2).agent };
+    fixture.send(frame, synPacket(flowNumber(1)));
+    CHECK(fixture.output.toTarget.empty());
+    CHECK(fixture.output.frames.back().to == memberNumber(2).agent);
+}
+
+TEST_CASE("agent: of two compared members the less loaded one takes the flow", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.ready();
+    Endpoint self = AgentFixture::options().self;
+    Endpoint other = memberNumber(2).agent;
+    // The first visited passes on with its load.
+    fixture.frame(FrameKind::Offer, synPacket(flowNumber(1)), { self, other }, true);
+    CHECK(fixture.output.frames.back().to == other);
+    CHECK(fixture.lastFrame().best == 0);
+    CHECK(fixture.lastFrame().next == 2);
+
+    Frame second = fixture.lastFrame();
+    second.members = { other, self };
+    SECTION("the second is less loaded")
+    {
+        second.bestLoad = 60000;
+        fixture.send(second, synPacket(flowNumber(1)));
+        CHECK(fixture.output.toTarget.size() == 1);
+    }
+    SECTION("the first is less loaded and gets it back without another comparison")
+    {
+        fixture.offer(flowNumber(7)); // load
+        second.bestLoad = 0;
+        fixture.send(second, synPacket(flowNumber(1)));
+        CHECK(fixture.output.frames.back().to == other);
+        CHECK_FALSE(fixture.lastFrame().compare);
+    }
+    SECTION("the second may not take it and returns it to the first")
+    {
+        fixture.beat("t-1", 100, true);
+        second.bestLoad = 60000;
+        fixture.send(second, synPacket(flowNumber(1)));
+        CHECK(fixture.output.frames.back().to == other);
+    }
+}
+
+TEST_CASE("agent: a bounced packet goes to the next member, the last one returns it", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.ready();
+    Endpoint self = AgentFixture::options().self;
+    fixture.frame(FrameKind::Deliver, dataPacket(flowNumber(1)), { self, memberNumber(2).agent });
+    fixture.bounce();
+    CHECK(fixture.output.frames.back().to == memberNumber(2).agent);
+    fixture.frame(FrameKind::Deliver, dataPacket(flowNumber(1)), { self });
+    fixture.bounce();
+    CHECK(fixture.output.frames.back().to == entryEndpoint);
+    CHECK(fixture.lastFrame().kind == FrameKind::Returned);
+    fixture.frame(FrameKind::Probe, dataPacket(flowNumber(1)), { self });
+    size_t sent = fixture.output.frames.size();
+    fixture.bounce();
+    CHECK(fixture.output.frames.size() == sent);
+    CHECK(fixture.agent.flows() == 0);
+
+    FlowPacket unknown = dataPacket(flowNumber(1));
+    unknown.bounced = true;
+    unknown.mark = 9999;
+    fixture.targetSends(unknown);
+    CHECK(fixture.output.frames.size() == sent);
+}
+
+TEST_CASE("agent: a searched flow is located when its target answers or does not bounce", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.ready();
+    Endpoint self = AgentFixture::options().self;
+    fixture.frame(FrameKind::Deliver, dataPacket(flowNumber(1), 0), { self, memberNumber(2).agent });
+    CHECK(fixture.output.frames.empty());
+    fixture.clock.advance(26ms);
+    fixture.agent.onTick();
+    REQUIRE(fixture.output.frames.size() == 1);
+    CHECK(fixture.output.frames.back().to == entryEndpoint);
+    CHECK(fixture.lastFrame().kind == FrameKind::Located);
+    // A second entry that searches learns it at once.
+    fixture.frame(FrameKind::Probe, dataPacket(flowNumber(1), 0), { self });
+    CHECK(fixture.output.frames.size() == 2);
+}
+
+TEST_CASE("agent: flows of a target that started again are reset, unknown ones never", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.ready();
+    Endpoint self = AgentFixture::options().self;
+    fixture.offer(flowNumber(1));
+    fixture.targetSends(dataPacket(flowNumber(1), 0));
+    CHECK(fixture.beat("t-1", 200) == HeartbeatResult::NewTarget);
+    size_t answers = fixture.output.toCaller.size();
+    FlowPacket late = dataPacket(flowNumber(1));
+    late.acknowledged = 4711;
+    fixture.frame(FrameKind::Deliver, late, { self });
+    REQUIRE(fixture.output.toCaller.size() == answers + 1);
+    FlowPacket reset;
+    std::memcpy(&reset, fixture.output.toCaller.back().bytes.data(), sizeof(reset));
+    CHECK(reset.reset);
+    CHECK(reset.sequence == 4711);
+    fixture.frame(FrameKind::Deliver, dataPacket(flowNumber(2)), { self });
+    CHECK(fixture.output.toCaller.size() == answers + 1);
+}
+
+TEST_CASE("agent: a flow that was not open at the ended target is passed on, not reset", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.ready();
+    fixture.offer(flowNumber(1));
+    SECTION("the SYN was not answered") { }
+    SECTION("the SYN was answered, and perhaps by another target too")
+    {
+        FlowPacket answer = dataPacket(flowNumber(1), 0);
+        answer.syn = true;
+        fixture.targetSends(answer);
+    }
+    fixture.beat("t-1", 200);
+    size_t answers = fixture.output.toCaller.size();
+    fixture.frame(
+        FrameKind::Deliver, dataPacket(flowNumber(1)), { AgentFixture::options().self, memberNumber(2).agent });
+    CHECK(fixture.output.toCaller.size() == answers);
+    CHECK(fixture.output.frames.back().to == memberNumber(2).agent);
+}
+
+TEST_CASE("agent: a cold target gets its budget of new flows in any second, also after an evacuation", "[agent]")
+{
+    AgentFixture fixture;
+    Configuration configuration = configurationOf(1, { routeOf(serviceAddress, { { hub, 1 } }) }, { "hub" });
+    configuration.services[0].warmUpRate = 10;
+    configuration.services[0].warmUp = 2s;
+    SECTION("start")
+    {
+        fixture.agent.setState(RouteTable(configuration), {});
+        fixture.beat("t-1", 100, false, 2000ms);
+    }
+    SECTION("evacuation")
+    {
+        fixture.agent.setState(RouteTable(configuration), { "east" });
+        fixture.beat();
+        fixture.agent.setState(RouteTable(configuration), {});
+    }
+    std::vector<Time> taken;
+    for (uint16_t i = 0; i < 1890; ++i) {
+        size_t before = fixture.output.toTarget.size();
+        fixture.offer(flowNumber(i));
+        if (fixture.output.toTarget.size() > before) {
+            taken.push_back(fixture.clock.now());
+            FlowPacket answer = dataPacket(flowNumber(i), 0);
+            fixture.targetSends(answer);
+        }
+        fixture.clock.advance(1ms);
+    }
+    CHECK(taken.size() >= 20);
+    for (size_t i = 0; i < taken.size(); ++i) {
+        size_t within = 0;
+        for (size_t j = i; j < taken.size() && taken[j] - taken[i] <= 1s; ++j)
+            ++within;
+        CHECK(within <= 20); // 10 x 1.5 + 5
+    }
+}
+
+TEST_CASE("agent: a target that answers no SYN gets none before its next packet or heartbeat", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.ready();
+    for (uint16_t i = 0; i < 2; ++i)
+        fixture.offer(flowNumber(i));
+    fixture.clock.advance(251ms);
+    fixture.agent.onTick();
+    size_t atTarget = fixture.output.toTarget.size();
+    fixture.offer(flowNumber(10));
+    fixture.clock.advance(1s);
+    fixture.offer(flowNumber(11));
+    CHECK(fixture.output.toTarget.size() == atTarget);
+    SECTION("packet") { fixture.targetSends(dataPacket(flowNumber(1), 0)); }
+    SECTION("heartbeat") { fixture.beat(); }
+    fixture.offer(flowNumber(12));
+    CHECK(fixture.output.toTarget.size() == atTarget + 1);
+}
+
+TEST_CASE("agent: a target whose heartbeat is overdue gets no new flow and keeps its open ones", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.ready();
+    fixture.offer(flowNumber(1));
+    fixture.targetSends(dataPacket(flowNumber(1), 0));
+    fixture.clock.advance(1901ms);
+    size_t atTarget = fixture.output.toTarget.size();
+    fixture.offer(flowNumber(2));
+    CHECK(fixture.output.toTarget.size() == atTarget);
+    fixture.frame(FrameKind::Deliver, dataPacket(flowNumber(1)), { AgentFixture::options().self });
+    CHECK(fixture.output.toTarget.size() == atTarget + 1);
+    fixture.beat();
+    fixture.offer(flowNumber(3));
+    CHECK(fixture.output.toTarget.size() == atTarget + 2);
+}
+
+TEST_CASE("agent: load follows requests in hand and forgets what is done", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.ready();
+    fixture.offer(flowNumber(1));
+    fixture.targetSends(dataPacket(flowNumber(1), 0));
+    uint16_t idle = fixture.agent.load();
+    fixture.frame(FrameKind::Deliver, dataPacket(flowNumber(1)), { AgentFixture::options().self });
+    CHECK(fixture.agent.load() >= idle + 50); // one request on two slots
+    fixture.targetSends(dataPacket(flowNumber(1)));
+    fixture.clock.advance(5s);
+    CHECK(fixture.agent.load() <= idle + 1);
+}
+
+TEST_CASE("agent: the record rises with each change and outlives one of a later clock", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.ready();
+    uint64_t before = fixture.agent.record().sequence;
+    CHECK(fixture.agent.record().sequence == before);
+    fixture.beat("t-1", 100, true);
+    CHECK(fixture.agent.record().sequence == before + 1);
+    CHECK(fixture.agent.record().state == TargetState::Draining);
+    fixture.agent.outlive(50);
+    CHECK(fixture.agent.record().incarnation == 51);
+    fixture.agent.outlive(51);
+    CHECK(fixture.agent.record().incarnation == 51);
+}
--- a/libs/steering/entry_steering.h
+++ b/libs/steering/entry_steering.h
@@ -53,7 +53,6 @@
     // True when packets can be forwarded by a configuration that is in force.
     bool isReady() const { return m_routes.version() != 0 && m_members.size() != 0; }
 
-    // `data` is changed in place.
     void onCallerPacket(const uint8_t* data, size_t size);
     void onFrame(Endpoint sender, const uint8_t* data, size_t size);
     // Call about every 20 ms while packets flow; expires at most once a second.
@@ -62,8 +61,9 @@
     size_t cachedFlows() const { return m_flows.size(); }
 
 private:
+    // What the entry remembers of a flow.
     struct Position {
-        Endpoint agent; // port 0: unknown
+        Endpoint agent; // where the flow lives; port 0: unknown
         Time lastPacket;
         Time firstSearch;
         Time lastBroadcast;
--- /dev/null
+++ b/libs/steering/entry_steering_test.cc
@@ -0,0 +1,170 @@
+#include "steering/test_fabric.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cicadaward;
+using namespace cicadaward::steering;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct EntryFixture {
+    ManualClock clock;
+    FakeFormat format;
+    CountingObserver observer;
+    RecordingOutput output;
+    EntrySteering entry { options(), format, clock, observer, output };
+
+    static EntryOptions options()
+    {
+        EntryOptions result;
+        result.self = entryEndpoint;
+        result.cacheEntries = 64;
+        return result;
+    }
+    EntryFixture()
+    {
+        entry.setState(hubTable(), {});
+        for (uint32_t i = 1; i <= 4; ++i)
+            entry.members().update(memberNumber(i));
+    }
+    void packet(const FlowPacket& head)
+    {
+        std::vector<uint8_t> bytes = FakeFormat::encode(head);
+        entry.onCallerPacket(bytes.data(), bytes.size());
+    }
+    void located(Endpoint agent, const FlowId& flow)
+    {
+        Frame frame;
+        frame.kind = FrameKind::Located;
+        std::vector<uint8_t> bytes;
+        encodeFrame(frame, nullptr, 0, bytes);
+        encodeFlow(flow, bytes);
+        entry.onFrame(agent, bytes.data(), bytes.size());
+    }
+    void returned(Endpoint agent, Frame frame, const FlowPacket& head)
+    {
+        frame.kind = FrameKind::Returned;
+        std::vector<uint8_t> packetBytes = FakeFormat::encode(head);
+        std::vector<uint8_t> bytes;
+        encodeFrame(frame, packetBytes.data(), packetBytes.size(), bytes);
+        entry.onFrame(agent, bytes.data(), bytes.size());
+    }
+    Frame lastFrame() const
+    {
+        Frame frame;
+        REQUIRE(!output.frames.empty());
+        REQUIRE(decodeFrame(output.frames.back().bytes.data(), output.frames.back().bytes.size(), frame));
+        return frame;
+    }
+};
+
+} // namespace
+
+TEST_CASE("entry: a SYN goes to the first member, its copies to the next ones", "[entry]")
+{
+    EntryFixture fixture;
+    std::set<uint32_t> first;
+    for (uint8_t copy = 0; copy < 3; ++copy) {
+        fixture.packet(synPacket(flowNumber(1), copy));
+        first.insert(fixture.output.frames.back().to.address);
+        CHECK(fixture.lastFrame().compare == (copy == 0));
+    }
+    CHECK(first.size() == 3);
+}
+
+TEST_CASE(
+    "entry: an unknown address is answered with silence, a full service with a reset of the first copy", "[entry]")
+{
+    EntryFixture fixture;
+    FlowPacket stray = synPacket({ { 1, 1 }, { 2, 2 } });
+    fixture.packet(stray);
+    CHECK(fixture.output.frames.empty());
+    CHECK(fixture.output.toCaller.empty());
+    CHECK(fixture.observer.count(Decision::NoRoute) == 1);
+
+    fixture.packet(synPacket(flowNumber(1)));
+    fixture.returned(memberNumber(1).agent, fixture.lastFrame(), synPacket(flowNumber(1)));
+    CHECK(fixture.output.toCaller.size() == 1);
+    fixture.returned(memberNumber(1).agent, fixture.lastFrame(), synPacket(flowNumber(1), 1));
+    CHECK(fixture.output.toCaller.size() == 1);
+}
+
+TEST_CASE("entry: no reset while members cannot decide yet", "[entry]")
+{
+    EntryFixture fixture;
+    fixture.packet(synPacket(flowNumber(1)));
+    Frame frame = fixture.lastFrame();
+    frame.mayRecover = true;
+    fixture.returned(memberNumber(1).agent, frame, synPacket(flowNumber(1)));
+    CHECK(fixture.output.toCaller.empty());
+
+    EntryFixture empty;
+    empty.entry.setState(
+        RouteTable(configurationOf(1, { routeOf(serviceAddress, { { catalogue, 1 } }) }, { "catalogue" })), {});
+    empty.packet(synPacket(flowNumber(1)));
+    CHECK(empty.output.toCaller.empty());
+}
+
+TEST_CASE("entry: known flows go straight to their agent, and a returned packet is searched for elsewhere", "[entry]")
+{
+    EntryFixture fixture;
+    Endpoint home = memberNumber(3).agent;
+    fixture.located(home, flowNumber(1));
+    fixture.packet(dataPacket(flowNumber(1)));
+    CHECK(fixture.output.frames.back().to == home);
+    CHECK(fixture.lastFrame().members.size() == 1);
+
+    fixture.returned(home, fixture.lastFrame(), dataPacket(flowNumber(1)));
+    Frame search = fixture.lastFrame();
+    CHECK(search.kind == FrameKind::Deliver);
+    CHECK(search.members.size() == 3); // all but the one that returned it
+    CHECK(std::find(search.members.begin(), search.members.end(), home) == search.members.end());
+    size_t sent = fixture.output.frames.size();
+    fixture.returned(memberNumber(1).agent, search, dataPacket(flowNumber(1)));
+    CHECK(fixture.output.frames.size() == sent); // all have been asked
+    CHECK(fixture.output.toCaller.empty()); // absence of a record proves nothing
+}
+
+TEST_CASE("entry: a search without an answer becomes a broadcast, not more often than its interval", "[entry]")
+{
+    EntryFixture fixture;
+    fixture.packet(dataPacket(flowNumber(1)));
+    CHECK(fixture.output.frames.size() == 1);
+    CHECK(fixture.lastFrame().members.size() == 4);
+    fixture.clock.advance(31ms);
+    fixture.packet(dataPacket(flowNumber(1)));
+    CHECK(fixture.output.frames.size() == 5);
+    CHECK(fixture.lastFrame().kind == FrameKind::Probe);
+    fixture.clock.advance(10ms);
+    fixture.packet(dataPacket(flowNumber(1)));
+    CHECK(fixture.output.frames.size() == 6);
+    CHECK(fixture.observer.count(Decision::Broadcast) == 1);
+}
+
+TEST_CASE("entry: agents that do not answer offers are asked last until they answer", "[entry]")
+{
+    EntryFixture fixture;
+    uint64_t hash = flowNumber(1).hash();
+    Endpoint dead = fixture.entry.members().forNewFlow(hash, hub, {}, 4).front();
+    for (int i = 0; i < 2; ++i) {
+        fixture.packet(synPacket(flowNumber(1)));
+        fixture.clock.advance(61ms);
+        fixture.entry.onTick();
+    }
+    CHECK(fixture.entry.members().forNewFlow(hash, hub, {}, 4).front() != dead);
+    fixture.located(dead, flowNumber(9));
+    CHECK(fixture.entry.members().forNewFlow(hash, hub, {}, 4).front() == dead);
+}
+
+TEST_CASE("entry: the cache is bounded and idle positions expire", "[entry]")
+{
+    EntryFixture fixture;
+    for (uint16_t i = 0; i < 200; ++i)
+        fixture.packet(dataPacket(flowNumber(i)));
+    CHECK(fixture.entry.cachedFlows() == 64);
+    CHECK(fixture.observer.count(Decision::TableFull) == 136);
+    fixture.clock.advance(16s);
+    fixture.entry.onTick();
+    CHECK(fixture.entry.cachedFlows() == 0);
+}
--- a/libs/steering/test_fabric.h
+++ b/libs/steering/test_fabric.h
@@ -127,4 +127,29 @@
     return route;
 }
 
+// Examples that the tests share.
+inline const Endpoint serviceAddress { 0xC6120001, 443 };
+inline const Endpoint entryEndpoint { 0x0A010001, 7735 };
+inline const ServiceKey hub = serviceKey("hub");
+inline const ServiceKey catalogue = serviceKey("catalogue");
+
+inline FlowId flowNumber(uint16_t number) { return { { 0x64400001, number }, serviceAddress }; }
+
+inline MemberRecord memberNumber(uint32_t number, ServiceKey service = hub)
+{
+    MemberRecord record;
+    record.agent = { 0x0A020000 + number, 8172 };
+    record.service = service;
+    record.dataCentre = number % 2 ? "east" : "west";
+    record.state = TargetState::Ready;
+    record.incarnation = 1;
+    record.sequence = 1;
+    return record;
+}
+
+inline RouteTable hubTable(uint64_t version = 1)
+{
+    return RouteTable(configurationOf(version, { routeOf(serviceAddress, { { hub, 1 } }) }, { "hub", "catalogue" }));
+}
+
 } // namespace cicadaward::steering
