--- a/libs/cluster/control_core.cc
+++ b/libs/cluster/control_core.cc
@@ -250,8 +250,9 @@
     if (found == m_orders.end())
         return;
     Answer answer;
-    answer.kind = found->second.term == entry.term ? AnswerKind::Done : AnswerKind::Unavailable;
-    answer.reason = "another leader has taken over";
+    bool own = found->second.term == entry.term;
+    answer.kind = own ? AnswerKind::Done : AnswerKind::Unavailable;
+    answer.reason = own ? "" : "another leader has taken over";
     m_output.answer(found->second.request, answer);
     m_orders.erase(found);
 }
