Write the founders' addresses into the first log

Change: foundingBatch() writes every founder's address behind the first configuration; the separate map of founders in the control machine is gone.

--- a/daemons/flow_control_daemon.cc
+++ b/daemons/flow_control_daemon.cc
@@ -19,16 +19,22 @@
         return InstanceId(mixHash((uint64_t(peer.address) << 16) | peer.port, 0xf0'1d'e4) | 1);
     }
 
-    cluster::ControlOptions controlOptions(const Settings& settings)
+    std::map<InstanceId, cluster::InstanceAddress> foundersOf(const Settings& settings)
     {
-        cluster::ControlOptions options;
-        options.self = { endpointSetting(settings, "listen.peers"), endpointSetting(settings, "listen.operators") };
+        std::map<InstanceId, cluster::InstanceAddress> founders;
         auto port = static_cast<uint16_t>(settings.number("control.peer-port"));
         for (const ConfiguredEndpoint& seed : settings.endpoints("control.seeds")) {
             cluster::InstanceAddress address { { seed.address, port }, { seed.address, seed.port } };
-            options.seeds.push_back(address.peer);
-            options.founders[founderId(address.peer)] = address;
+            founders[founderId(address.peer)] = address;
         }
+        return founders;
+    }
+
+    cluster::ControlOptions controlOptions(const Settings& settings)
+    {
+        cluster::ControlOptions options;
+        options.self = { endpointSetting(settings, "listen.peers"), endpointSetting(settings, "listen.operators") };
+        options.seeds = controlSeeds(settings);
         options.group.toleratedLosses = static_cast<size_t>(settings.number("control.tolerated-losses"));
         options.consensus.electionTimeout = settings.duration("raft.election-timeout-ms");
         options.consensus.heartbeatInterval = options.consensus.electionTimeout / 8;
@@ -45,6 +51,7 @@
     , m_adapter(adapter)
     , m_stopLimit(settings.duration("stop.limit-ms"))
     , m_options(controlOptions(settings))
+    , m_founders(foundersOf(settings))
     , m_bootstrap(settings.flag("control.bootstrap"))
     , m_disk(
           base.context, m_files, settings.path("data.folder"), StoreOptions(),
@@ -70,7 +77,7 @@
 InstanceId FlowControlDaemon::founderIdentity() const
 {
     InstanceId own = founderId(m_options.self.peer);
-    return m_bootstrap && m_options.founders.count(own) != 0 ? own : InstanceId();
+    return m_bootstrap && m_founders.count(own) != 0 ? own : InstanceId();
 }
 
 absl::Status FlowControlDaemon::start()
@@ -95,10 +102,7 @@
     StoreBatch founding;
     bool isFounder = contents->empty() && founderIdentity() != InstanceId();
     if (isFounder) {
-        std::vector<InstanceId> voters;
-        for (const auto& [id, address] : m_options.founders)
-            voters.push_back(id);
-        founding = raft::bootstrapBatch(std::move(voters));
+        founding = cluster::foundingBatch(m_founders);
         contents->state = *founding.state;
         contents->entries = founding.entries;
     }
--- a/daemons/flow_control_daemon.h
+++ b/daemons/flow_control_daemon.h
@@ -45,7 +45,8 @@
     const FlowAdapter& m_adapter;
     const Duration m_stopLimit;
     cluster::ControlOptions m_options;
-    bool m_bootstrap;
+    const std::map<InstanceId, cluster::InstanceAddress> m_founders; // the seeds, under their founding identities
+    const bool m_bootstrap;
     PosixFileSystem m_files;
     DiskWriter m_disk;
     std::unique_ptr<cluster::ControlCore> m_core; // null while the store does not work
--- a/libs/cluster/control_core.cc
+++ b/libs/cluster/control_core.cc
@@ -14,6 +14,23 @@
 
 } // namespace
 
+StoreBatch foundingBatch(const std::map<InstanceId, InstanceAddress>& founders)
+{
+    std::vector<InstanceId> voters;
+    for (const auto& [id, address] : founders)
+        voters.push_back(id);
+    StoreBatch batch = raft::bootstrapBatch(std::move(voters));
+    for (const auto& [id, address] : founders) {
+        Command command;
+        command.kind = CommandKind::SetInstance;
+        command.instance = id;
+        command.address = address;
+        const LogEntry& last = batch.entries.back();
+        batch.entries.push_back({ last.index + 1, last.term, EntryKind::Command, encodeMessage(command) });
+    }
+    return batch;
+}
+
 ControlCore::ControlCore(
     ControlOptions options, const Clock& clock, Random& random, const StoreContents& contents, ControlOutput& output)
     : m_options(std::move(options))
@@ -114,10 +131,7 @@
 Endpoint ControlCore::operatorsOf(InstanceId id) const
 {
     auto found = m_state.instances().find(id);
-    if (found != m_state.instances().end())
-        return found->second.operators;
-    auto founder = m_options.founders.find(id);
-    return founder == m_options.founders.end() ? Endpoint() : founder->second.operators;
+    return found == m_state.instances().end() ? Endpoint() : found->second.operators;
 }
 
 void ControlCore::putConfiguration(
@@ -391,9 +405,6 @@
     auto registered = m_state.instances().find(id);
     if (registered != m_state.instances().end())
         return registered->second.peer;
-    auto founder = m_options.founders.find(id);
-    if (founder != m_options.founders.end())
-        return founder->second.peer;
     auto seen = m_seen.find(id);
     return seen == m_seen.end() ? std::nullopt : std::optional<Endpoint>(seen->second);
 }
--- a/libs/cluster/control_core.h
+++ b/libs/cluster/control_core.h
@@ -31,7 +31,6 @@
 struct ControlOptions {
     InstanceAddress self;
     std::vector<Endpoint> seeds; // control datagram endpoints of other instances
-    std::map<InstanceId, InstanceAddress> founders; // the group of the first start
     Duration orderLimit = std::chrono::seconds(3); // an order that is not committed by then is answered "unavailable"
     Duration readLimit = std::chrono::milliseconds(800); // a read that is not confirmed by then is "unavailable"
     Duration helloInterval = std::chrono::milliseconds(400);
@@ -42,6 +41,11 @@
     raft::RaftOptions consensus;
 };
 
+// What each founder of a group stores before its first start: the group and the addresses of its instances. All
+// founders must give the same map, so that their logs are equal. The addresses are in the log from the beginning,
+// because the seeds may be exchanged before an instance has registered.
+StoreBatch foundingBatch(const std::map<InstanceId, InstanceAddress>& founders);
+
 using RequestNumber = uint64_t;
 
 enum class AnswerKind : uint8_t { Done, Configuration, Redirect, Unavailable };
--- a/libs/cluster/group_simulation.cc
+++ b/libs/cluster/group_simulation.cc
@@ -30,13 +30,9 @@
         m_disk.instance = identity;
     }
 
-    void found(const std::vector<InstanceId>& founders) { writeToDisk(raft::bootstrapBatch(founders)); }
-    // The settings of a later start may name other instances, and no founders.
-    void turnSeedsOver(std::vector<Endpoint> seeds)
-    {
-        m_options.seeds = std::move(seeds);
-        m_options.founders.clear();
-    }
+    void found(const std::map<InstanceId, InstanceAddress>& founders) { writeToDisk(foundingBatch(founders)); }
+    // The settings of a later start may name other instances.
+    void turnSeedsOver(std::vector<Endpoint> seeds) { m_options.seeds = std::move(seeds); }
     void start()
     {
         m_pending.clear();
@@ -125,25 +121,24 @@
     : m_random(seed)
 {
     constexpr size_t founders = 3;
+    constexpr uint64_t firstFounder = 100;
     ControlOptions options;
     options.consensus.electionTimeout = std::chrono::milliseconds(400);
     options.consensus.heartbeatInterval = std::chrono::milliseconds(50);
     options.consensus.promoteLearners = false;
     options.consensus.leaseReads = false;
     options.snapshotEntries = 8 + m_random.below(30);
-    std::vector<InstanceId> voters;
+    std::map<InstanceId, InstanceAddress> group;
     for (size_t i = 0; i < founders; ++i) {
-        InstanceId id(100 + i);
-        voters.push_back(id);
         options.seeds.push_back(endpointOf(i));
-        options.founders[id] = { endpointOf(i), endpointOf(i) };
+        group[InstanceId(firstFounder + i)] = { endpointOf(i), endpointOf(i) };
     }
     for (size_t i = 0; i < instances; ++i) {
         options.self = { endpointOf(i), endpointOf(i) };
-        InstanceId id = i < founders ? voters[i] : InstanceId(m_random.next() | 1);
+        InstanceId id = i < founders ? InstanceId(firstFounder + i) : InstanceId(m_random.next() | 1);
         m_instances.push_back(std::make_unique<Instance>(*this, i, id, options));
         if (i < founders)
-            m_instances.back()->found(voters);
+            m_instances.back()->found(group);
         m_instances.back()->start();
     }
     m_side.resize(instances);
