Take warm-up factor, time of reuse and time of the kill from the platform's bounds

Cause: deploy/agent.ini held the warm-up factor of the two sites as a constant, a fraction of a second would have broken reuse-ms, and an entry drained for 2.5 s whatever the platform allowed. Limits of settings that two tables repeated stand in one header.

--- a/daemons/flow_agent_daemon.cc
+++ b/daemons/flow_agent_daemon.cc
@@ -10,7 +10,6 @@
     // Heartbeats that may be missing before the target counts as gone.
     constexpr int missedHeartbeats = 4;
     constexpr Duration reuseMargin = std::chrono::milliseconds(100);
-    constexpr double percent = 100;
 
     steering::AgentOptions agentOptions(const FlowDaemonBase& base, const Settings& settings)
     {
@@ -21,11 +20,11 @@
         // Less than the time of reuse, but at least a heartbeat and a quarter: heartbeats come a little late at times.
         Duration heartbeat = settings.duration("target.heartbeat-ms");
         options.heartbeatFreshness
-            = std::max<Duration>(settings.duration("target.reuse-ms") - reuseMargin, heartbeat + heartbeat / 4);
+            = std::max<Duration>(seconds(settings.decimal("target.reuse-s")) - reuseMargin, heartbeat + heartbeat / 4);
         options.maxFlows = static_cast<size_t>(settings.number("limits.max-flows"));
         options.heartbeatSilence = missedHeartbeats * settings.duration("target.heartbeat-ms");
-        options.warmUpFactor = double(settings.number("warm-up.factor-percent")) / percent;
-        options.warmUpSlack = double(settings.number("warm-up.slack"));
+        options.warmUpFactor = settings.decimal("warm-up.factor");
+        options.warmUpSlack = settings.decimal("warm-up.slack");
         return options;
     }
 
--- a/daemons/flow_daemon.cc
+++ b/daemons/flow_daemon.cc
@@ -20,6 +20,8 @@
 
 } // namespace
 
+Duration seconds(double number) { return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(number)); }
+
 Endpoint endpointSetting(const Settings& settings, const std::string& key)
 {
     ConfiguredEndpoint endpoint = settings.endpoint(key);
--- a/daemons/flow_entry_daemon.cc
+++ b/daemons/flow_entry_daemon.cc
@@ -2,11 +2,14 @@
 
 #include "cluster/codec.h"
 
+#include <algorithm>
+
 namespace cicadaward {
 
 namespace {
 
     constexpr Duration tickInterval = std::chrono::milliseconds(30);
+    constexpr Duration exitMargin = std::chrono::milliseconds(500);
     // How long an agent that control has not heard from is asked last.
     constexpr Duration silentSuspicion = std::chrono::seconds(2);
 
@@ -18,6 +21,14 @@
         return options;
     }
 
+    Duration drainTime(const Settings& settings)
+    {
+        Duration drain = settings.duration("stop.drain-ms");
+        if (!settings.isSet("stop.limit-s"))
+            return drain;
+        return std::clamp<Duration>(seconds(settings.decimal("stop.limit-s")) - exitMargin, Duration::zero(), drain);
+    }
+
     cluster::PollerOptions pollerOptions(const Settings& settings)
     {
         cluster::PollerOptions options;
@@ -33,7 +44,7 @@
     : m_base(base)
     , m_adapter(adapter)
     , m_callerPort(endpointSetting(settings, "listen.fabric").port)
-    , m_drain(settings.duration("stop.drain-ms"))
+    , m_drain(drainTime(settings))
     , m_decisions(base.clock, *base.log, base.metrics, uint32_t(settings.number("log.decisions-per-second")))
     , m_steering(entryOptions(settings), adapter.packets(), base.clock, m_decisions, *this)
     , m_poller(pollerOptions(settings), base.clock, base.random, *this)
--- a/libs/settings/daemon_settings.cc
+++ b/libs/settings/daemon_settings.cc
@@ -1,13 +1,14 @@
 #include "settings/daemon_settings.h"
 
+#include "settings/setting_limits.h"
+
 namespace cicadaward {
 namespace {
 
-    constexpr int64_t maxPathBytes = 4096;
-    constexpr int64_t maxNameBytes = 64;
-    constexpr int64_t maxMs = 3'600'000;
-    // The page allows at most 7 control instances; 16 leaves room for a list that names an old and a new set.
-    constexpr int64_t maxControlPeers = 16;
+    using detail::maxControlPeers;
+    using detail::maxMs;
+    using detail::maxNameBytes;
+    using detail::maxPathBytes;
 
     const std::vector<Setting> instanceSettings {
         { "instance.name", SettingType::Name, "", nullptr, 1, maxNameBytes,
--- a/libs/settings/flow_settings.cc
+++ b/libs/settings/flow_settings.cc
@@ -1,18 +1,19 @@
 // Settings of the daemons on a fabric that hands over flows in datagrams.
 #include "settings/daemon_settings.h"
 
+#include "settings/setting_limits.h"
+
 namespace cicadaward {
 namespace {
 
-    constexpr int64_t maxPathBytes = 4096;
-    constexpr int64_t maxNameBytes = 64;
-    constexpr int64_t maxMs = 3'600'000;
-    constexpr int64_t maxSeeds = 16;
+    using detail::maxMs;
+    using detail::maxNameBytes;
+    using detail::maxPathBytes;
 
     const std::vector<Setting> commonSettings {
         { "instance.name", SettingType::Name, "", nullptr, 1, maxNameBytes, "name of this instance in logs" },
         { "instance.data-centre", SettingType::Name, "", nullptr, 1, maxNameBytes, "data centre of this instance" },
-        { "control.seeds", SettingType::EndpointList, "", nullptr, 1, maxSeeds,
+        { "control.seeds", SettingType::EndpointList, "", nullptr, 1, detail::maxControlPeers,
             "administration endpoints of control instances to start from; others are learned" },
         { "control.peer-port", SettingType::Number, "", nullptr, 1, 65535,
             "UDP port of all control instances for messages between daemons" },
@@ -46,6 +47,8 @@
             "flows whose agent is remembered" },
         { "stop.drain-ms", SettingType::Milliseconds, "ms", "2500", 0, maxMs,
             "time from the end of readiness to the exit" },
+        { "stop.limit-s", SettingType::Decimal, "s", "", 0, 3600,
+            "time after which a stopping process is killed; the exit comes half a second earlier at the latest" },
     });
     return table;
 }
@@ -60,13 +63,13 @@
         { "target.packets", SettingType::Endpoint, "", nullptr, 0, 0, "UDP endpoint of the target" },
         { "target.heartbeat-ms", SettingType::Milliseconds, "ms", "1200", 10, maxMs,
             "time between two heartbeats; after four without one the target counts as gone" },
-        { "target.reuse-ms", SettingType::Milliseconds, "ms", "2000", 10, maxMs,
+        { "target.reuse-s", SettingType::Decimal, "s", "2", 0, 3600,
             "shortest time until the address of a target that has ended may go to another service's target" },
         pollInterval,
         { "limits.max-flows", SettingType::Number, "flows", "16384", 16, 1 << 24, "most flows held" },
-        { "warm-up.factor-percent", SettingType::Number, "%", "100", 1, 10000,
-            "share of the configured warm-up rate that a cold target gets" },
-        { "warm-up.slack", SettingType::Number, "flows", "0", 0, 1 << 20,
+        { "warm-up.factor", SettingType::Decimal, "", "1", 0, 1000,
+            "multiple of the configured warm-up rate that a cold target gets" },
+        { "warm-up.slack", SettingType::Decimal, "flows", "0", 0, 1 << 20,
             "new flows a second that a cold target gets beyond it" },
     });
     return table;
--- a/libs/settings/settings.cc
+++ b/libs/settings/settings.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <optional>
 #include <set>
@@ -49,6 +50,17 @@
         return number;
     }
 
+    // Digits with at most one point. Exponents, infinities and signs other than '-' are not accepted.
+    std::optional<double> parseDecimal(const std::string& text)
+    {
+        double number = 0;
+        const auto [end, error]
+            = std::from_chars(text.data(), text.data() + text.size(), number, std::chars_format::fixed);
+        if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(number))
+            return std::nullopt;
+        return number;
+    }
+
     bool isName(const std::string& text)
     {
         return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
@@ -138,6 +150,13 @@
                 return "\"" + value + "\" is not a whole number";
             return isWithin(setting, *number) ? "" : "must be " + limitsText(setting);
         }
+        case SettingType::Decimal: {
+            const std::optional<double> number = parseDecimal(value);
+            if (!number)
+                return "\"" + value + "\" is not a number";
+            bool within = *number >= double(setting.minimum) && *number <= double(setting.maximum);
+            return within ? "" : "must be " + limitsText(setting);
+        }
         case SettingType::Flag:
             return value == "true" || value == "false" ? "" : "must be true or false";
         case SettingType::Endpoint:
@@ -208,6 +227,8 @@
             return "name";
         case SettingType::Number:
             return "whole number";
+        case SettingType::Decimal:
+            return "number";
         case SettingType::Milliseconds:
             return "duration";
         case SettingType::Flag:
@@ -238,6 +259,7 @@
         case SettingType::NamedEndpointList:
             return limitsText(setting) + " entries";
         case SettingType::Number:
+        case SettingType::Decimal:
         case SettingType::Milliseconds:
             return limitsText(setting);
         }
@@ -287,6 +309,11 @@
     return parseNumber(value(key, { SettingType::Number })).value_or(0);
 }
 
+double Settings::decimal(const std::string& key) const
+{
+    return parseDecimal(value(key, { SettingType::Decimal })).value_or(0);
+}
+
 std::chrono::milliseconds Settings::duration(const std::string& key) const
 {
     return std::chrono::milliseconds(parseNumber(value(key, { SettingType::Milliseconds })).value_or(0));
--- a/libs/settings/settings.h
+++ b/libs/settings/settings.h
@@ -26,6 +26,7 @@
     Text, // limits: length in bytes
     Name, // letters, digits, '-', '_' and '.'; limits: length in bytes
     Number, // whole number; limits: value
+    Decimal, // number with an optional fraction, "1.5"; limits: value
     Milliseconds, // whole number of milliseconds; limits: value
     Flag, // "true" or "false"
     Endpoint, // "ip:port", IPv4
@@ -73,6 +74,7 @@
 
     std::string text(const std::string& key) const; // Text or Name
     int64_t number(const std::string& key) const;
+    double decimal(const std::string& key) const;
     std::chrono::milliseconds duration(const std::string& key) const;
     bool flag(const std::string& key) const;
     ConfiguredEndpoint endpoint(const std::string& key) const; // all zero when not set
--- a/libs/settings/settings_test.cc
+++ b/libs/settings/settings_test.cc
@@ -57,6 +57,23 @@
     CHECK_THROWS_AS(settings.number("a.name"), std::logic_error);
 }
 
+TEST_CASE("decimals are read with and without a fraction, and nothing else is a decimal", "[settings]")
+{
+    const SettingTable decimals { { { "a.x", SettingType::Decimal, "", "1", 0, 10, "a number" } }, {} };
+    const std::pair<const char*, double> good[] = { { "0", 0 }, { "1.5", 1.5 }, { "10", 10 }, { ".25", 0.25 } };
+    for (const auto& [text, expected] : good) {
+        INFO(text);
+        Findings findings;
+        const Settings settings = parseSettings("t.ini", std::string("[a]\nx = ") + text, decimals, findings);
+        CHECK(findings.empty());
+        CHECK(settings.decimal("a.x") == expected);
+    }
+    for (const char* text : { "", "1.5s", "1,5", "1e1", "nan", "inf", "-0.1", "10.01", "1.5000.0" }) {
+        INFO(text);
+        CHECK_FALSE(reportOf(std::string("[a]\nx = ") + text, decimals).empty());
+    }
+}
+
 TEST_CASE("each fault is a finding with line and key", "[settings]")
 {
     const std::vector<std::pair<std::string, std::string>> cases {
