Key tables by endpoint, and decode replies, refusals and states in one place

Cause: five copies of an endpoint's key, the same decoding of replies in three daemons, three copies of the answer to an invalid call, empty overrides in three processes, and a status with a list of all instances built for each poll. The log showed member states as numbers, and a comment claimed a log line for SIGHUP that was not written. Change: Endpoint orders and hashes itself; Poller::onMessage() decodes; PollerOutput's hooks are optional; refuseCall(); Raft::leader() and term(); targetStateName(); event 110.

--- a/daemons/flow_agent_daemon.cc
+++ b/daemons/flow_agent_daemon.cc
@@ -1,7 +1,5 @@
 #include "flow_agent_daemon.h"
 
-#include "cluster/codec.h"
-
 namespace cicadaward {
 
 namespace {
@@ -48,11 +46,7 @@
     , m_poller(pollerOptions(settings), base.clock, base.random, *this)
     , m_peers(
           base, endpointSetting(settings, "listen.fabric"),
-          [this](Endpoint sender, const cluster::Envelope& envelope) {
-              cluster::PollReply reply;
-              if (envelope.kind == cluster::MessageKind::PollReply && decodeMessage(envelope.body, reply))
-                  m_poller.onReply(sender, reply);
-          },
+          [this](Endpoint sender, const cluster::Envelope& envelope) { m_poller.onMessage(sender, envelope); },
           [this](Endpoint sender, uint8_t* data, size_t size) { m_steering.onFrame(sender, data, size); })
     , m_targetPort(base.context, endpointSetting(settings, "listen.target"), 2048,
           [this](Endpoint, uint8_t* data, size_t size) { m_steering.onTargetPacket(data, size); })
@@ -87,17 +81,16 @@
     m_announced = m_steering.record().sequence;
     m_base.log->write(EventId::MemberChanged,
         { { "member", formatEndpoint(m_steering.record().agent) },
-            { "state", static_cast<int>(m_steering.record().state) }, { "sequence", m_announced } });
+            { "state", targetStateName(m_steering.record().state) }, { "sequence", m_announced } });
     m_poller.pollAll();
 }
 
 void FlowAgentDaemon::onTargetCall(const HttpRequest& request, const HttpReply& reply)
 {
-    TargetCall call
-        = m_adapter.targetCall(std::string(request.method_string()), std::string(request.target()), request.body());
+    std::string target(request.target());
+    TargetCall call = m_adapter.targetCall(std::string(request.method_string()), target, request.body());
     if (const auto* status = std::get_if<absl::Status>(&call)) {
-        m_base.log->write(EventId::HeartbeatRefused, { { "reason", std::string(status->message()) } });
-        reply(absl::IsNotFound(*status) ? 404 : 400, "text/plain", std::string(status->message()) + "\n");
+        refuseCall(*m_base.log, EventId::HeartbeatRefused, target, *status, reply);
         return;
     }
     if (const auto* heartbeat = std::get_if<HeartbeatCall>(&call)) {
--- a/daemons/flow_agent_daemon.h
+++ b/daemons/flow_agent_daemon.h
@@ -22,11 +22,8 @@
     void sendToCaller(const steering::FlowId&, const uint8_t* packet, size_t size) override;
     void sendMessage(Endpoint control, const cluster::Envelope&) override;
     void takeState(const cluster::ForwardingState&) override;
-    void takeMember(const steering::MemberRecord&) override { }
-    void suspectMember(Endpoint) override { }
     void noteIncarnation(uint64_t incarnation) override { m_steering.outlive(incarnation); }
     std::vector<steering::MemberRecord> ownRecords() override;
-    void takeLeader(Endpoint, uint64_t) override { }
     void contactLost() override;
     void contactRenewed() override;
     void onTick();
--- a/daemons/flow_control_daemon.cc
+++ b/daemons/flow_control_daemon.cc
@@ -14,10 +14,7 @@
 
     // The founders of a group must agree on their identities before they have exchanged a message, so these follow from
     // the seeds. An identity is used once: a later start with an empty disk draws a random one.
-    InstanceId founderId(Endpoint peer)
-    {
-        return InstanceId(mixHash((uint64_t(peer.address) << 16) | peer.port, 0xf0'1d'e4) | 1);
-    }
+    InstanceId founderId(Endpoint peer) { return InstanceId(mixHash(peer.key(), 0xf0'1d'e4) | 1); }
 
     std::map<InstanceId, cluster::InstanceAddress> foundersOf(const Settings& settings)
     {
@@ -159,8 +156,7 @@
     std::string target(request.target());
     OperatorCall call = m_adapter.operatorCall(std::string(request.method_string()), target, request.body());
     if (const auto* status = std::get_if<absl::Status>(&call)) {
-        m_base.log->write(EventId::OrderRefused, { { "call", target }, { "reason", std::string(status->message()) } });
-        reply(absl::IsNotFound(*status) ? 404 : 400, "text/plain", std::string(status->message()) + "\n");
+        refuseCall(*m_base.log, EventId::OrderRefused, target, *status, reply);
         return;
     }
     if (!m_core || m_stopping) {
--- a/daemons/flow_daemon.cc
+++ b/daemons/flow_daemon.cc
@@ -147,6 +147,14 @@
         m_onMessage(sender, envelope);
 }
 
+void refuseCall(
+    EventLog& log, EventId event, const std::string& call, const absl::Status& status, const HttpReply& reply)
+{
+    std::string findings(status.message());
+    log.write(event, { { "call", call }, { "reason", findings } });
+    reply(absl::IsNotFound(status) ? 404 : 400, "text/plain", findings + "\n");
+}
+
 std::unique_ptr<HttpServer> serveMetrics(FlowDaemonBase& base, const Settings& settings)
 {
     Endpoint listen = endpointSetting(settings, "metrics.listen");
@@ -167,7 +175,9 @@
         signals.async_wait([&](boost::system::error_code error, int number) {
             if (error)
                 return;
-            if (number != SIGHUP && !stopping) {
+            if (number == SIGHUP) {
+                base.log->write(EventId::ReloadIgnored, {});
+            } else if (!stopping) {
                 stopping = true;
                 base.log->write(EventId::Stopping, {});
                 stop();
--- a/daemons/flow_daemon.h
+++ b/daemons/flow_daemon.h
@@ -96,6 +96,9 @@
     UdpPort m_port;
 };
 
+// Answers a call that the adapter could not translate: 404 when there is no such call, else 400 with all findings.
+void refuseCall(EventLog&, EventId, const std::string& call, const absl::Status&, const HttpReply&);
+
 // Serves the metrics as JSON on metrics.listen, if that is set.
 std::unique_ptr<HttpServer> serveMetrics(FlowDaemonBase&, const Settings&);
 
--- a/daemons/flow_entry_daemon.cc
+++ b/daemons/flow_entry_daemon.cc
@@ -1,7 +1,5 @@
 #include "flow_entry_daemon.h"
 
-#include "cluster/codec.h"
-
 #include <algorithm>
 
 namespace cicadaward {
@@ -50,11 +48,7 @@
     , m_poller(pollerOptions(settings), base.clock, base.random, *this)
     , m_peers(
           base, endpointSetting(settings, "listen.peers"),
-          [this](Endpoint sender, const cluster::Envelope& envelope) {
-              cluster::PollReply reply;
-              if (envelope.kind == cluster::MessageKind::PollReply && decodeMessage(envelope.body, reply))
-                  m_poller.onReply(sender, reply);
-          },
+          [this](Endpoint sender, const cluster::Envelope& envelope) { m_poller.onMessage(sender, envelope); },
           [this](Endpoint sender, uint8_t* data, size_t size) { m_steering.onFrame(sender, data, size); })
     , m_fabric(base.context, endpointSetting(settings, "listen.fabric"), 2048,
           [this](Endpoint, uint8_t* data, size_t size) { m_steering.onCallerPacket(data, size); })
@@ -133,7 +127,7 @@
 {
     if (m_steering.members().update(record))
         m_base.log->write(EventId::MemberChanged,
-            { { "member", formatEndpoint(record.agent) }, { "state", static_cast<int>(record.state) },
+            { { "member", formatEndpoint(record.agent) }, { "state", targetStateName(record.state) },
                 { "data-centre", record.dataCentre }, { "sequence", record.sequence } });
 }
 
--- a/daemons/flow_entry_daemon.h
+++ b/daemons/flow_entry_daemon.h
@@ -24,9 +24,6 @@
     void takeState(const cluster::ForwardingState&) override;
     void takeMember(const steering::MemberRecord&) override;
     void suspectMember(Endpoint agent) override;
-    void noteIncarnation(uint64_t) override { }
-    std::vector<steering::MemberRecord> ownRecords() override { return {}; }
-    void takeLeader(Endpoint, uint64_t) override { }
     void contactLost() override;
     void contactRenewed() override;
     void onTick();
--- a/daemons/flow_relay_daemon.cc
+++ b/daemons/flow_relay_daemon.cc
@@ -102,8 +102,7 @@
     std::string target(request.target());
     OperatorCall call = m_adapter.operatorCall(std::string(request.method_string()), target, request.body());
     if (const auto* status = std::get_if<absl::Status>(&call)) {
-        m_base.log->write(EventId::OrderRefused, { { "call", target }, { "reason", std::string(status->message()) } });
-        reply(absl::IsNotFound(*status) ? 404 : 400, "text/plain", std::string(status->message()) + "\n");
+        refuseCall(*m_base.log, EventId::OrderRefused, target, *status, reply);
         return;
     }
     bool known = m_leader.port != 0 && m_base.clock.now() - m_leaderHeard <= leaderLimit;
--- a/libs/cluster/cluster_test.cc
+++ b/libs/cluster/cluster_test.cc
@@ -280,9 +280,6 @@
     void sendMessage(Endpoint control, const Envelope&) override { polled.push_back(control); }
     void takeState(const ForwardingState& state) override { states.push_back(state.index); }
     void takeMember(const steering::MemberRecord&) override { ++members; }
-    void suspectMember(Endpoint) override { }
-    void noteIncarnation(uint64_t) override { }
-    std::vector<steering::MemberRecord> ownRecords() override { return {}; }
     void takeLeader(Endpoint operators, uint64_t) override { leader = operators; }
     void contactLost() override { ++lost; }
     void contactRenewed() override { ++renewed; }
--- a/libs/cluster/control_core.cc
+++ b/libs/cluster/control_core.cc
@@ -102,7 +102,7 @@
 void ControlCore::onHello(Hello hello)
 {
     m_group.onHello(hello);
-    std::optional<Endpoint> leader = addressOf(m_raft.status().leader);
+    std::optional<Endpoint> leader = addressOf(m_raft.leader());
     if (m_raft.isLeader() || hello.forwarded || !leader)
         return;
     hello.forwarded = true;
@@ -120,7 +120,7 @@
         return false;
     Answer answer;
     answer.reason = "no leader is known";
-    Endpoint leader = operatorsOf(m_raft.status().leader);
+    Endpoint leader = operatorsOf(m_raft.leader());
     if (leader.port != 0)
         answer = { AnswerKind::Redirect, "", leader, "" };
     m_output.answer(request, answer);
@@ -333,9 +333,8 @@
     if (poll.wantsMembers)
         m_members.answer(poll.table, reply);
     reply.controls = knownControls();
-    raft::RaftStatus status = m_raft.status();
-    reply.leader = operatorsOf(status.leader);
-    reply.term = status.term.value();
+    reply.leader = operatorsOf(m_raft.leader());
+    reply.term = m_raft.term().value();
     m_output.sendMessage(sender, { MessageKind::PollReply, encodeMessage(reply) });
 }
 
@@ -366,9 +365,8 @@
 {
     auto own = m_state.instances().find(m_raft.self());
     bool registered = own != m_state.instances().end() && own->second == m_options.self;
-    raft::RaftStatus status = m_raft.status();
-    bool served = status.leader != InstanceId();
-    if (registered && status.voter && served) {
+    bool served = m_raft.leader() != InstanceId();
+    if (registered && m_raft.configuration().isVoter(m_raft.self()) && served) {
         greetSeeds();
         return;
     }
--- a/libs/cluster/fragments.cc
+++ b/libs/cluster/fragments.cc
@@ -23,8 +23,6 @@
 
     uint16_t take16(const uint8_t* data) { return static_cast<uint16_t>((data[0] << 8) | data[1]); }
 
-    uint64_t endpointKey(Endpoint endpoint) { return (uint64_t(endpoint.address) << 16) | endpoint.port; }
-
 } // namespace
 
 std::string compress(const std::string& bytes)
@@ -103,7 +101,7 @@
         whole = std::move(part);
     } else {
         makeRoom();
-        auto key = std::make_pair(endpointKey(sender), number);
+        auto key = std::make_pair(sender, number);
         Partial& partial = m_partial[key];
         if (partial.parts.empty()) {
             partial.parts.resize(count);
--- a/libs/cluster/fragments.h
+++ b/libs/cluster/fragments.h
@@ -63,7 +63,7 @@
     void makeRoom();
 
     const Clock& m_clock;
-    std::map<std::pair<uint64_t, uint32_t>, Partial> m_partial; // by sender and message number
+    std::map<std::pair<Endpoint, uint32_t>, Partial> m_partial; // by sender and message number
     size_t m_bytes = 0;
 };
 
--- a/libs/cluster/member_table.cc
+++ b/libs/cluster/member_table.cc
@@ -6,11 +6,10 @@
 
 uint64_t MemberTable::update(const steering::MemberRecord& record)
 {
-    uint64_t key = (uint64_t(record.agent.address) << 16) | record.agent.port;
-    auto found = m_rows.find(key);
+    auto found = m_rows.find(record.agent);
     if (found == m_rows.end()) {
         if (m_rows.size() < steering::maxMembers)
-            m_rows[key] = { record, ++m_version.number, m_clock.now() };
+            m_rows[record.agent] = { record, ++m_version.number, m_clock.now() };
         return record.incarnation;
     }
     Row& row = found->second;
--- a/libs/cluster/member_table.h
+++ b/libs/cluster/member_table.h
@@ -41,7 +41,7 @@
 
     const Clock& m_clock;
     TableVersion m_version;
-    std::map<uint64_t, Row> m_rows; // by agent endpoint
+    std::map<Endpoint, Row> m_rows; // by agent
 };
 
 } // namespace cicadaward::cluster
--- a/libs/cluster/poller.cc
+++ b/libs/cluster/poller.cc
@@ -10,8 +10,6 @@
 
     constexpr Duration contactLimit = std::chrono::seconds(3);
 
-    uint64_t endpointKey(Endpoint endpoint) { return (uint64_t(endpoint.address) << 16) | endpoint.port; }
-
 } // namespace
 
 Poller::Poller(PollerOptions options, const Clock& clock, Random& random, PollerOutput& output)
@@ -30,7 +28,7 @@
     Poll poll;
     poll.stateIndex = m_stateIndex;
     poll.wantsMembers = m_options.wantsMembers;
-    auto found = m_tables.find(endpointKey(control));
+    auto found = m_tables.find(control);
     if (found != m_tables.end())
         poll.table = found->second;
     poll.records = m_output.ownRecords();
@@ -58,6 +56,15 @@
     m_nextPoll = now + interval / static_cast<int>(m_controls.size());
 }
 
+bool Poller::onMessage(Endpoint sender, const Envelope& envelope)
+{
+    PollReply reply;
+    if (envelope.kind != MessageKind::PollReply || !decodeMessage(envelope.body, reply))
+        return false;
+    onReply(sender, reply);
+    return true;
+}
+
 void Poller::onReply(Endpoint sender, const PollReply& reply)
 {
     m_lastReply = m_clock.now();
@@ -79,7 +86,7 @@
     }
     if (!m_options.wantsMembers)
         return;
-    m_tables[endpointKey(sender)] = reply.table;
+    m_tables[sender] = reply.table;
     for (const steering::MemberRecord& record : reply.members)
         m_output.takeMember(record);
     for (Endpoint agent : reply.silent)
--- a/libs/cluster/poller.h
+++ b/libs/cluster/poller.h
@@ -2,7 +2,7 @@
 // records, and learns of control instances that its seeds do not name.
 //
 //     poller.onTick(); // sends what is due
-//     if (poller.onMessage(sender, envelope)) ...
+//     poller.onMessage(sender, envelope); // false: not a reply
 //
 // Cost: one poll each interval / number of control instances, whatever the size of the system; a reply carries what has
 // changed. State index and member records only rise, so an instance that lags or was cut off cannot bring old ones
@@ -33,17 +33,19 @@
 public:
     virtual ~PollerOutput() = default;
     virtual void sendMessage(Endpoint control, const Envelope&) = 0;
-    virtual void takeState(const ForwardingState&) = 0;
-    virtual void takeMember(const steering::MemberRecord&) = 0;
-    virtual void suspectMember(Endpoint agent) = 0;
+    virtual void contactLost() = 0;
+    virtual void contactRenewed() = 0;
+
+    // What a reply brings; a process overrides what it needs.
+    virtual void takeState(const ForwardingState&) { }
+    virtual void takeMember(const steering::MemberRecord&) { }
+    virtual void suspectMember(Endpoint) { }
     // The own record is known under this incarnation.
-    virtual void noteIncarnation(uint64_t) = 0;
+    virtual void noteIncarnation(uint64_t) { }
     // The announcement of this process, or nothing.
-    virtual std::vector<steering::MemberRecord> ownRecords() = 0;
+    virtual std::vector<steering::MemberRecord> ownRecords() { return {}; }
     // Where operators find the leader of `term`.
-    virtual void takeLeader(Endpoint operators, uint64_t term) = 0;
-    virtual void contactLost() = 0;
-    virtual void contactRenewed() = 0;
+    virtual void takeLeader(Endpoint, uint64_t) { }
 };
 
 class Poller {
@@ -51,6 +53,7 @@
     Poller(PollerOptions, const Clock&, Random&, PollerOutput&);
 
     void onTick();
+    bool onMessage(Endpoint sender, const Envelope&);
     void onReply(Endpoint sender, const PollReply&);
     // Polls all control instances at once: at the start and after a change of the own record.
     void pollAll();
@@ -69,7 +72,7 @@
     const Clock& m_clock;
     PollerOutput& m_output;
     std::vector<Endpoint> m_controls;
-    std::map<uint64_t, TableVersion> m_tables; // by control instance
+    std::map<Endpoint, TableVersion> m_tables; // by control instance
     size_t m_next = 0;
     Time m_nextPoll;
     Time m_lastReply;
--- a/libs/directory/directory.h
+++ b/libs/directory/directory.h
@@ -14,6 +14,7 @@
 #include "directory/manifest.h"
 
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cicadaward {
@@ -37,6 +38,14 @@
 
     friend bool operator==(const Endpoint& a, const Endpoint& b) { return a.address == b.address && a.port == b.port; }
     friend bool operator!=(const Endpoint& a, const Endpoint& b) { return !(a == b); }
+    friend bool operator<(const Endpoint& a, const Endpoint& b) { return a.key() < b.key(); }
+    template <typename H> friend H AbslHashValue(H state, const Endpoint& endpoint)
+    {
+        return H::combine(std::move(state), endpoint.key());
+    }
+
+    // Address and port in one number; different endpoints have different keys.
+    uint64_t key() const { return (uint64_t(address) << 16) | port; }
 };
 
 struct Member {
--- a/libs/observe/events.cc
+++ b/libs/observe/events.cc
@@ -35,6 +35,8 @@
         { EventId::InternalFault, EventLevel::Error, "internal-fault", "a state that must not occur; please report" },
         { EventId::AdminRefused, EventLevel::Warning, "admin-refused",
             "a change through the administration API had no valid token" },
+        { EventId::ReloadIgnored, EventLevel::Info, "reload-ignored",
+            "SIGHUP: changed settings take effect at the next start" },
 
         { EventId::DirectoryAccepted, EventLevel::Info, "directory-accepted", "a newer directory is in force" },
         { EventId::DirectoryOlderRefused, EventLevel::Warning, "directory-older-refused",
--- a/libs/observe/events.h
+++ b/libs/observe/events.h
@@ -23,6 +23,7 @@
     StopLimitReached = 107,
     InternalFault = 108,
     AdminRefused = 109,
+    ReloadIgnored = 110,
 
     DirectoryAccepted = 200,
     DirectoryOlderRefused = 201,
--- a/libs/raft/raft.h
+++ b/libs/raft/raft.h
@@ -102,6 +102,8 @@
 
     InstanceId self() const { return m_self; }
     bool isLeader() const { return m_role == RaftRole::Leader; }
+    InstanceId leader() const { return m_leader; } // zero while unknown
+    Term term() const { return m_state.term; }
     const Configuration& configuration() const { return m_log.configuration(); }
     RaftStatus status() const;
     // For checks of the log's invariants.
--- a/libs/steering/entry_steering.cc
+++ b/libs/steering/entry_steering.cc
@@ -15,8 +15,6 @@
     constexpr Duration expiryInterval = std::chrono::seconds(1);
     constexpr Duration defaultIdleLimit = std::chrono::seconds(15);
 
-    uint64_t endpointKey(Endpoint endpoint) { return (uint64_t(endpoint.address) << 16) | endpoint.port; }
-
 } // namespace
 
 EntrySteering::EntrySteering(EntryOptions options, const PacketFormat& format, const Clock& clock,
@@ -179,7 +177,7 @@
 void EntrySteering::onLocated(Endpoint sender, const FlowId& flow)
 {
     m_members.confirm(sender);
-    m_strikes.erase(endpointKey(sender));
+    m_strikes.erase(sender);
     Position* known = position(flow);
     if (!known)
         return;
@@ -194,7 +192,7 @@
     if (!packet)
         return;
     m_members.confirm(sender);
-    m_strikes.erase(endpointKey(sender));
+    m_strikes.erase(sender);
     if (packet->syn) {
         if (frame.mayRecover)
             m_observer.decided(
@@ -246,7 +244,7 @@
 {
     if (agent.port == 0)
         return;
-    uint8_t& strikes = m_strikes[endpointKey(agent)];
+    uint8_t& strikes = m_strikes[agent];
     if (++strikes < m_options.strikes)
         return;
     strikes = m_options.strikes;
--- a/libs/steering/entry_steering.h
+++ b/libs/steering/entry_steering.h
@@ -100,7 +100,7 @@
     Members m_members;
     absl::flat_hash_map<FlowId, Position> m_flows;
     std::deque<PendingOffer> m_offers; // oldest first
-    absl::flat_hash_map<uint64_t, uint8_t> m_strikes; // by agent
+    absl::flat_hash_map<Endpoint, uint8_t> m_strikes; // by agent
     Time m_lastExpiry;
     std::vector<uint8_t> m_buffer;
 };
--- a/libs/steering/members.cc
+++ b/libs/steering/members.cc
@@ -8,20 +8,32 @@
 
 namespace {
 
-    uint64_t endpointKey(Endpoint endpoint) { return (uint64_t(endpoint.address) << 16) | endpoint.port; }
-
-    uint64_t rendezvousScore(uint64_t flowHash, Endpoint agent) { return mixHash(flowHash, endpointKey(agent)); }
+    uint64_t rendezvousScore(uint64_t flowHash, Endpoint agent) { return mixHash(flowHash, agent.key()); }
 
 } // namespace
 
+const char* targetStateName(TargetState state)
+{
+    switch (state) {
+    case TargetState::Ready:
+        return "ready";
+    case TargetState::Draining:
+        return "draining";
+    case TargetState::Gone:
+        return "gone";
+    case TargetState::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
 bool Members::update(const MemberRecord& record)
 {
-    uint64_t key = endpointKey(record.agent);
-    auto found = m_members.find(key);
+    auto found = m_members.find(record.agent);
     if (found == m_members.end()) {
         if (m_members.size() >= maxMembers)
             return false;
-        m_members.emplace(key, Entry { record, m_clock.now(), {}, 0 });
+        m_members.emplace(record.agent, Entry { record, m_clock.now(), {}, 0 });
         return true;
     }
     if (!record.isNewerThan(found->second.record))
@@ -36,7 +48,7 @@
 
 void Members::suspect(Endpoint agent, Duration shortest)
 {
-    auto found = m_members.find(endpointKey(agent));
+    auto found = m_members.find(agent);
     if (found == m_members.end() || isSuspect(found->second))
         return;
     Duration duration = std::min<Duration>(maxSuspicion, shortest * (1 << std::min(found->second.suspicions, 8U)));
@@ -46,7 +58,7 @@
 
 void Members::confirm(Endpoint agent)
 {
-    auto found = m_members.find(endpointKey(agent));
+    auto found = m_members.find(agent);
     if (found == m_members.end())
         return;
     found->second.suspectUntil = {};
@@ -72,7 +84,7 @@
 
 const MemberRecord* Members::find(Endpoint agent) const
 {
-    auto found = m_members.find(endpointKey(agent));
+    auto found = m_members.find(agent);
     return found == m_members.end() ? nullptr : &found->second.record;
 }
 
--- a/libs/steering/members.h
+++ b/libs/steering/members.h
@@ -24,6 +24,8 @@
     Gone, // deregistered or silent
 };
 
+const char* targetStateName(TargetState);
+
 struct MemberRecord {
     Endpoint agent; // where frames go; identifies the member
     ServiceKey service;
@@ -85,7 +87,7 @@
     static std::vector<Endpoint> inOrder(std::vector<Ranked>, size_t limit);
 
     const Clock& m_clock;
-    absl::flat_hash_map<uint64_t, Entry> m_members; // by agent endpoint
+    absl::flat_hash_map<Endpoint, Entry> m_members; // by agent
 };
 
 } // namespace cicadaward::steering
--- a/libs/steering/route_table.cc
+++ b/libs/steering/route_table.cc
@@ -11,8 +11,6 @@
     // Separates the draw of a service from the order of its members, which use the same flow hash.
     constexpr uint64_t drawSeed = 0x5eed'0001;
 
-    uint64_t addressKey(Endpoint endpoint) { return (uint64_t(endpoint.address) << 16) | endpoint.port; }
-
     bool serves(const Route& route, ServiceKey service)
     {
         return std::any_of(route.services.begin(), route.services.end(),
@@ -57,7 +55,7 @@
 {
     m_routes.reserve(m_configuration.routes.size());
     for (size_t i = 0; i < m_configuration.routes.size(); ++i)
-        m_routes.emplace(addressKey(m_configuration.routes[i].address), i);
+        m_routes.emplace(m_configuration.routes[i].address, i);
 }
 
 RouteTable RouteTable::successor(const RouteTable& previous, Configuration configuration)
@@ -71,7 +69,7 @@
 
 const Route* RouteTable::find(Endpoint serviceAddress) const
 {
-    auto found = m_routes.find(addressKey(serviceAddress));
+    auto found = m_routes.find(serviceAddress);
     return found == m_routes.end() ? nullptr : &m_configuration.routes[found->second];
 }
 
--- a/libs/steering/route_table.h
+++ b/libs/steering/route_table.h
@@ -75,7 +75,7 @@
 
 private:
     Configuration m_configuration;
-    absl::flat_hash_map<uint64_t, size_t> m_routes; // address and port -> position in the configuration
+    absl::flat_hash_map<Endpoint, size_t> m_routes; // address -> position in the configuration
 };
 
 } // namespace cicadaward::steering
