--- a/libs/cluster/cluster_test.cc
+++ b/libs/cluster/cluster_test.cc
@@ -3,6 +3,7 @@
 #include "cluster/group.h"
 #include "cluster/member_table.h"
 #include "cluster/poller.h"
+#include "cluster/relay.h"
 
 #include <catch2/catch.hpp>
 
@@ -332,3 +333,96 @@
     poller.onReply(peerB, stateReply(8));
     CHECK(output.renewed == 2);
 }
+
+namespace {
+
+class FakeRelayOutput final : public RelayOutput {
+public:
+    void sendMessage(Endpoint to, const Envelope& envelope) override { sent.emplace_back(to, envelope); }
+    void contactChanged(bool) override { }
+
+    std::vector<std::pair<Endpoint, Envelope>> sent;
+};
+
+} // namespace
+
+// Guards against a system whose seeds name only relays: nobody would find the voters, and nobody could join.
+TEST_CASE("relay: introduces members and joining instances to each other, once", "[relay]")
+{
+    ManualClock clock;
+    Random random(1);
+    FakeRelayOutput output;
+    const Endpoint otherRelay { 0x0A010009, 7720 };
+    PollerOptions options;
+    options.seeds = { otherRelay };
+    Relay relay(options, clock, random, output);
+    relay.onMessage(peerA, { MessageKind::Hello, encodeMessage(Hello { InstanceId(1), addressOf(peerA), false }) });
+    output.sent.clear();
+    relay.onMessage(peerB, { MessageKind::Hello, encodeMessage(Hello { InstanceId(2), addressOf(peerB), false }) });
+    std::set<Endpoint> informed;
+    for (const auto& [to, envelope] : output.sent) {
+        Hello hello;
+        REQUIRE(decodeMessage(envelope.body, hello));
+        CHECK(hello.forwarded);
+        CHECK(hello.instance == InstanceId(2));
+        informed.insert(to);
+    }
+    CHECK(informed == std::set<Endpoint> { peerA, otherRelay });
+    output.sent.clear();
+    relay.onMessage(
+        otherRelay, { MessageKind::Hello, encodeMessage(Hello { InstanceId(3), addressOf(peerB), true }) });
+    CHECK(output.sent.empty()); // two relays must not pass a hello back and forth
+
+    relay.onMessage(peerB, { MessageKind::Poll, encodeMessage(Poll()) });
+    REQUIRE(output.sent.size() == 1);
+    PollReply reply;
+    REQUIRE(decodeMessage(output.sent[0].second.body, reply));
+    CHECK(std::count(reply.controls.begin(), reply.controls.end(), peerA) == 1);
+    CHECK(reply.state.empty());
+}
+
+TEST_CASE("relay: names the leader of the newest term, and none after silence", "[relay]")
+{
+    ManualClock clock;
+    Random random(1);
+    FakeRelayOutput output;
+    PollerOptions options;
+    options.seeds = { peerA };
+    Relay relay(options, clock, random, output);
+    CHECK_FALSE(relay.leader());
+    auto named = [&](Endpoint sender, Endpoint leader, uint64_t term) {
+        PollReply reply;
+        reply.leader = leader;
+        reply.term = term;
+        relay.onMessage(sender, { MessageKind::PollReply, encodeMessage(reply) });
+    };
+    named(peerA, addressOf(peerA).operators, 4);
+    named(peerB, addressOf(peerB).operators, 3);
+    CHECK(relay.leader() == addressOf(peerA).operators);
+    clock.advance(2001ms);
+    CHECK_FALSE(relay.leader());
+    named(peerB, addressOf(peerB).operators, 5);
+    CHECK(relay.leader() == addressOf(peerB).operators);
+}
+
+// After a loss of power entries waited up to 0.8 s for a poll; failed tries are lost meanwhile.
+TEST_CASE("poller: without a state it polls often, with one at its interval", "[poller]")
+{
+    ManualClock clock;
+    Random random(1);
+    FakePollerOutput output;
+    PollerOptions options;
+    options.seeds = { peerA, peerB };
+    Poller poller(options, clock, random, output);
+    auto pollsInOneSecond = [&] {
+        output.polled.clear();
+        for (int i = 0; i < 100; ++i) {
+            clock.advance(10ms);
+            poller.onTick();
+        }
+        return output.polled.size();
+    };
+    CHECK(pollsInOneSecond() >= 16); // both instances every 120 ms
+    poller.onReply(peerA, stateReply(1));
+    CHECK(pollsInOneSecond() <= 3); // both every 800 ms
+}
