--- a/libs/cluster/control_core.cc
+++ b/libs/cluster/control_core.cc
@@ -17,6 +17,7 @@
 StoreBatch foundingBatch(const std::map<InstanceId, InstanceAddress>& founders)
 {
     std::vector<InstanceId> voters;
+    voters.reserve(founders.size());
     for (const auto& [id, address] : founders)
         voters.push_back(id);
     StoreBatch batch = raft::bootstrapBatch(std::move(voters));
