--- a/daemons/flow_agent_daemon.cc
+++ b/daemons/flow_agent_daemon.cc
@@ -118,6 +118,14 @@
             { "warm-up-ms", heartbeat.warmUpLeft.count() } });
 }
 
+void FlowAgentDaemon::takeRegistration(uint64_t incarnation, uint64_t targetStart)
+{
+    bool waited = m_steering.awaitsRegistration();
+    m_steering.onRegistered(incarnation, targetStart);
+    if (waited && !m_steering.awaitsRegistration())
+        m_base.log->write(EventId::MemberRegistered, { { "incarnation", incarnation }, { "start", targetStart } });
+}
+
 std::vector<steering::MemberRecord> FlowAgentDaemon::ownRecords()
 {
     if (m_steering.record().service == steering::ServiceKey())
--- a/daemons/flow_control_daemon.cc
+++ b/daemons/flow_control_daemon.cc
@@ -235,6 +235,12 @@
     case cluster::ControlEvent::InstanceRegistered:
         id = EventId::InstanceAdded;
         break;
+    case cluster::ControlEvent::MembersRegistered:
+        id = EventId::MembersRegistered;
+        break;
+    case cluster::ControlEvent::MembersRemoved:
+        id = EventId::MembersRemoved;
+        break;
     case cluster::ControlEvent::MembershipChanged:
         break;
     case cluster::ControlEvent::OrderExpired:
--- a/daemons/flow_entry_daemon.h
+++ b/daemons/flow_entry_daemon.h
@@ -24,6 +24,8 @@
     void takeState(const cluster::ForwardingState&) override;
     void takeMember(const steering::MemberRecord&) override;
     void suspectMember(Endpoint agent) override;
+    void confirmMembers() override { m_poller.confirmMembers(); }
+    void membersConfirmed(Time asked) override { m_steering.onMembersConfirmed(asked); }
     void contactLost() override;
     void contactRenewed() override;
     void onTick();
--- a/libs/cluster/codec.h
+++ b/libs/cluster/codec.h
@@ -33,17 +33,19 @@
         CICADAWARD_CODEC(cicadaward::steering::Route, 4, v.name, v.address, v.services, v.former)
         CICADAWARD_CODEC(cicadaward::steering::ServicePolicy, 5, v.key, v.name, v.warmUp, v.warmUpRate, v.maxFlows)
         CICADAWARD_CODEC(cicadaward::steering::Configuration, 4, v.version, v.routes, v.services, v.flowIdleLimit)
-        CICADAWARD_CODEC(
-            cicadaward::steering::MemberRecord, 6, v.agent, v.service, v.dataCentre, v.state, v.incarnation, v.sequence)
+        CICADAWARD_GROWN_CODEC(cicadaward::steering::MemberRecord, 6, 7, v.agent, v.service, v.dataCentre, v.state,
+            v.incarnation, v.sequence, v.targetStart)
         CICADAWARD_CODEC(cicadaward::cluster::InstanceAddress, 2, v.peer, v.operators)
-        CICADAWARD_CODEC(cicadaward::cluster::Command, 7, v.kind, v.configuration, v.text, v.dataCentre, v.out,
-            v.instance, v.address)
+        CICADAWARD_GROWN_CODEC(cicadaward::cluster::Command, 7, 8, v.kind, v.configuration, v.text, v.dataCentre, v.out,
+            v.instance, v.address, v.members)
         CICADAWARD_CODEC(cicadaward::cluster::ForwardingState, 3, v.index, v.configuration, v.out)
         CICADAWARD_CODEC(cicadaward::cluster::Envelope, 2, v.kind, v.body)
-        CICADAWARD_CODEC(cicadaward::cluster::Poll, 4, v.stateIndex, v.table, v.wantsMembers, v.records)
+        CICADAWARD_GROWN_CODEC(
+            cicadaward::cluster::Poll, 4, 5, v.stateIndex, v.table, v.wantsMembers, v.records, v.confirmation)
         CICADAWARD_CODEC(cicadaward::cluster::TableVersion, 2, v.owner, v.number)
-        CICADAWARD_CODEC(cicadaward::cluster::PollReply, 9, v.stateIndex, v.state, v.table, v.members, v.silent,
-            v.controls, v.leader, v.term, v.newestIncarnation)
+        CICADAWARD_GROWN_CODEC(cicadaward::cluster::PollReply, 9, 12, v.stateIndex, v.state, v.table, v.members,
+            v.silent, v.controls, v.leader, v.term, v.newestIncarnation, v.registeredIncarnation, v.registeredStart,
+            v.confirmation)
         CICADAWARD_CODEC(cicadaward::cluster::Hello, 3, v.instance, v.address, v.forwarded)
 
     } // namespace adaptor
--- a/libs/cluster/control_core.cc
+++ b/libs/cluster/control_core.cc
@@ -4,6 +4,7 @@
 #include "raft/codec.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace cicadaward::cluster {
 
@@ -11,6 +12,8 @@
 
     // Requests of the machine itself (registrations, membership changes) have the highest bit set.
     constexpr RequestNumber ownRequests = RequestNumber(1) << 63;
+    // Polls beyond this number are answered without a confirmation.
+    constexpr size_t maxConfirmations = 512;
 
 } // namespace
 
@@ -40,6 +43,7 @@
     , m_raft(m_options.consensus, clock, random, contents)
     , m_members(clock, random.next())
     , m_group(m_options.group, clock)
+    , m_nextRegisterLook(clock.now())
     , m_nextHello(clock.now())
     , m_nextSeedHello(clock.now())
     , m_nextGroupLook(clock.now())
@@ -68,6 +72,7 @@
     perform(m_raft.handle(raft::Tick {}));
     expireOrders(false);
     answerConfirmed();
+    tendRegister();
     Time now = m_clock.now();
     if (now >= m_nextGroupLook) {
         m_nextGroupLook = now + m_options.groupInterval;
@@ -172,30 +177,41 @@
 
 void ControlCore::confirm(RequestNumber request, bool read)
 {
-    m_confirmations.push_back({ request, m_clock.now(), read });
+    m_confirmations.push_back({ m_clock.now(), OperatorConfirmation { request, read } });
     answerConfirmed();
 }
 
 void ControlCore::answerConfirmed()
 {
     while (!m_confirmations.empty()) {
-        const Confirmation waiting = m_confirmations.front();
-        Answer answer;
-        answer.reason = "the newest configuration is not certain";
         // Strictly later: what was sent in the same instant may have left before the request arrived.
-        bool confirmed = m_raft.canRead() && m_raft.quorumTime() > waiting.arrived;
-        bool late = !m_raft.isLeader() || m_clock.now() - waiting.arrived > m_options.readLimit;
+        Time arrived = m_confirmations.front().arrived;
+        bool confirmed = m_raft.canRead() && m_raft.quorumTime() > arrived;
+        bool late = !m_raft.isLeader() || m_clock.now() - arrived > m_options.readLimit;
         if (!confirmed && !late)
             return;
-        if (confirmed && !waiting.read)
-            answer = { AnswerKind::Done, "", {}, "" };
-        else if (confirmed && !m_state.text().empty())
-            answer = { AnswerKind::Configuration, m_state.text(), {}, "" };
+        Confirmation waiting = std::move(m_confirmations.front());
         m_confirmations.pop_front();
-        m_output.answer(waiting.request, answer);
+        std::visit([&](const auto& request) { answer(request, confirmed); }, waiting.request);
     }
 }
 
+void ControlCore::answer(const OperatorConfirmation& waiting, bool confirmed)
+{
+    Answer answer;
+    answer.reason = "the newest configuration is not certain";
+    if (confirmed && !waiting.read)
+        answer = { AnswerKind::Done, "", {}, "" };
+    else if (confirmed && !m_state.text().empty())
+        answer = { AnswerKind::Configuration, m_state.text(), {}, "" };
+    m_output.answer(waiting.request, answer);
+}
+
+void ControlCore::answer(const PollConfirmation& waiting, bool confirmed)
+{
+    answerPoll(waiting.sender, waiting.poll, confirmed);
+}
+
 void ControlCore::propose(RequestNumber request, const Command& command)
 {
     perform(m_raft.handle(raft::Propose { request, encodeMessage(command) }));
@@ -245,9 +261,27 @@
         if (m_state.index() != before)
             reportChange(command, entry.index);
     }
+    if (entry.index >= m_registerIndex)
+        m_registerRequest = 0;
+    if (command.kind == CommandKind::RegisterMembers || command.kind == CommandKind::RemoveMembers)
+        onRegisterChange(command, entry.index);
     settle(entry);
 }
 
+void ControlCore::onRegisterChange(const Command& command, LogIndex index)
+{
+    bool added = command.kind == CommandKind::RegisterMembers;
+    m_members.follow(m_state.members());
+    std::string agents;
+    for (const steering::MemberRecord& record : command.members) {
+        if (!added)
+            m_members.remove(record);
+        agents += agents.empty() ? "" : ",";
+        agents += formatAddress(record.agent.address) + ":" + std::to_string(record.agent.port);
+    }
+    m_output.happened(added ? ControlEvent::MembersRegistered : ControlEvent::MembersRemoved, agents, index);
+}
+
 void ControlCore::reportChange(const Command& command, LogIndex index)
 {
     if (command.kind == CommandKind::PutConfiguration)
@@ -277,11 +311,14 @@
 {
     m_state.decode(action.snapshot.data);
     m_applied = m_lastSnapshot = action.snapshot.index;
+    m_members.follow(m_state.members());
 }
 
 void ControlCore::on(raft::BecameLeader& action)
 {
     m_group.reset();
+    m_registerRequest = 0;
+    m_nextRegisterLook = m_clock.now();
     m_output.happened(ControlEvent::BecameLeader, std::to_string(action.term.value()), m_applied);
 }
 
@@ -294,9 +331,14 @@
 
 void ControlCore::on(raft::RequestResult& result)
 {
+    bool accepted = result.outcome == raft::RequestOutcome::Accepted;
+    if (result.request == m_registerRequest) {
+        m_registerRequest = accepted ? m_registerRequest : 0;
+        m_registerIndex = result.index;
+    }
     if (result.request >= ownRequests)
         return;
-    if (result.outcome == raft::RequestOutcome::Accepted)
+    if (accepted)
         m_orders[result.index] = { result.request, result.term, m_clock.now() + m_options.orderLimit };
     else
         m_output.answer(result.request, { AnswerKind::Unavailable, "", {}, "the leader takes no order now" });
@@ -319,11 +361,25 @@
 
 void ControlCore::onPoll(Endpoint sender, const Poll& poll)
 {
-    uint64_t newestIncarnation = 0;
     for (const steering::MemberRecord& record : poll.records)
-        newestIncarnation = m_members.update(record);
+        m_members.update(record);
+    if (poll.confirmation != 0 && m_raft.isLeader() && m_confirmations.size() < maxConfirmations)
+        m_confirmations.push_back({ m_clock.now(), PollConfirmation { sender, poll } });
+    else
+        answerPoll(sender, poll, false);
+}
+
+void ControlCore::answerPoll(Endpoint sender, const Poll& poll, bool confirmed)
+{
     PollReply reply;
-    reply.newestIncarnation = newestIncarnation;
+    for (const steering::MemberRecord& record : poll.records) {
+        reply.newestIncarnation = m_members.incarnationOf(record.agent);
+        auto registered = m_state.members().find(record.agent);
+        if (registered == m_state.members().end())
+            continue;
+        reply.registeredIncarnation = registered->second.incarnation;
+        reply.registeredStart = registered->second.targetStart;
+    }
     reply.stateIndex = m_state.index();
     if (poll.stateIndex < m_state.index() && m_state.routes().version() != 0) {
         if (m_forwardingIndex != m_state.index()) {
@@ -332,14 +388,41 @@
         }
         reply.state = m_forwarding;
     }
-    if (poll.wantsMembers)
-        m_members.answer(poll.table, reply);
+    bool complete = poll.wantsMembers && m_members.answer(poll.table, reply);
+    if (confirmed && complete)
+        reply.confirmation = poll.confirmation;
     reply.controls = knownControls();
     reply.leader = operatorsOf(m_raft.leader());
     reply.term = m_raft.term().value();
     m_output.sendMessage(sender, { MessageKind::PollReply, encodeMessage(reply) });
 }
 
+// One change of the register is under way at a time; what comes meanwhile goes into the next one.
+void ControlCore::tendRegister()
+{
+    bool isDue = m_registerSeen != m_members.version().number || m_clock.now() >= m_nextRegisterLook;
+    if (!m_raft.canRead() || m_registerRequest != 0 || !isDue)
+        return;
+    m_registerSeen = m_members.version().number;
+    m_nextRegisterLook = m_clock.now() + m_options.registerInterval;
+    RegisterChanges changes = m_members.registerChanges(m_state.members());
+    if (!changes.add.empty())
+        proposeMembers(CommandKind::RegisterMembers, std::move(changes.add));
+    else if (!changes.remove.empty())
+        proposeMembers(CommandKind::RemoveMembers, std::move(changes.remove));
+}
+
+void ControlCore::proposeMembers(CommandKind kind, std::vector<steering::MemberRecord> members)
+{
+    Command command;
+    command.kind = kind;
+    command.members = std::move(members);
+    m_nextRegisterLook = m_clock.now(); // what this command leaves out follows at once
+    m_registerIndex = std::numeric_limits<LogIndex>::max();
+    m_registerRequest = ownRequests + m_nextChange++;
+    propose(m_registerRequest, command);
+}
+
 void ControlCore::tendGroup()
 {
     if (!m_raft.isLeader())
--- a/libs/cluster/control_core.h
+++ b/libs/cluster/control_core.h
@@ -24,6 +24,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace cicadaward::cluster {
@@ -35,6 +36,7 @@
     Duration readLimit = std::chrono::milliseconds(800); // a read that is not confirmed by then is "unavailable"
     Duration helloInterval = std::chrono::milliseconds(400);
     Duration seedInterval = std::chrono::seconds(2); // between two hellos to seeds that are no members of the group
+    Duration registerInterval = std::chrono::seconds(1); // between two looks at the register without a change
     Duration groupInterval = std::chrono::milliseconds(200); // between two looks at the membership
     LogIndex snapshotEntries = 256; // applied entries between two snapshots
     GroupOptions group;
@@ -65,6 +67,8 @@
     DataCentreOut,
     DataCentreBack,
     InstanceRegistered,
+    MembersRegistered,
+    MembersRemoved,
     MembershipChanged,
     OrderExpired,
 };
@@ -75,7 +79,7 @@
     virtual void sendMessage(Endpoint to, const Envelope&) = 0;
     virtual void persist(uint64_t ticket, const StoreBatch&) = 0;
     virtual void answer(RequestNumber, const Answer&) = 0;
-    // `subject` names the version, data centre or instance concerned.
+    // `subject` names the version, data centre, instance or members concerned.
     virtual void happened(ControlEvent, const std::string& subject, LogIndex) = 0;
     virtual void stopped() = 0; // after stop(): leadership has been handed over
 };
@@ -105,15 +109,24 @@
     };
 
     // An answer that waits until the leader is known to have led after the request arrived.
-    struct Confirmation {
+    struct OperatorConfirmation {
         RequestNumber request;
-        Time arrived;
         bool read = false; // else an order that the state contains already
     };
+    struct PollConfirmation {
+        Endpoint sender;
+        Poll poll;
+    };
+    struct Confirmation {
+        Time arrived;
+        std::variant<OperatorConfirmation, PollConfirmation> request;
+    };
 
     bool redirect(RequestNumber);
     void confirm(RequestNumber, bool read);
     void answerConfirmed();
+    void answer(const OperatorConfirmation&, bool confirmed);
+    void answer(const PollConfirmation&, bool confirmed);
     void propose(RequestNumber, const Command&);
     void perform(std::vector<raft::RaftAction>);
     void on(raft::SendMessage&);
@@ -128,8 +141,12 @@
     void settle(const LogEntry&);
     void expireOrders(bool all);
     void reportChange(const Command&, LogIndex);
+    void onRegisterChange(const Command&, LogIndex);
     void onHello(Hello);
     void onPoll(Endpoint sender, const Poll&);
+    void answerPoll(Endpoint sender, const Poll&, bool confirmed);
+    void tendRegister();
+    void proposeMembers(CommandKind, std::vector<steering::MemberRecord>);
     void tendGroup();
     void learnAddresses(const StoreContents&);
     void sayHello();
@@ -152,6 +169,10 @@
     bool m_performing = false;
     LogIndex m_applied = 0;
     LogIndex m_lastSnapshot = 0;
+    RequestNumber m_registerRequest = 0; // own request that changes the register and is not applied yet; 0: none
+    LogIndex m_registerIndex = 0; // of that request, once the log has it
+    uint64_t m_registerSeen = 0; // number of the member table at the last look
+    Time m_nextRegisterLook;
     uint64_t m_nextChange = 0; // numbers of the machine's own requests, from ownRequests
     Time m_nextHello;
     Time m_nextSeedHello;
--- a/libs/cluster/group_schedule_test.cc
+++ b/libs/cluster/group_schedule_test.cc
@@ -25,6 +25,7 @@
 
 struct Totals {
     std::atomic<uint64_t> acknowledged { 0 };
+    std::atomic<uint64_t> members { 0 };
     std::atomic<uint64_t> reads { 0 };
     std::atomic<uint64_t> lostDisks { 0 };
     std::mutex mutex;
@@ -37,6 +38,7 @@
     simulation.run(6s, 8s);
     totals.acknowledged += simulation.acknowledgedOrders();
     totals.reads += simulation.answeredReads();
+    totals.members += simulation.confirmedMembers();
     totals.lostDisks += simulation.lostDisks();
     if (simulation.violation().empty())
         return;
@@ -68,6 +70,7 @@
         // The schedules must exercise what they check.
         CHECK(totals.acknowledged > 10 * schedules);
         CHECK(totals.reads > 5 * schedules);
+        CHECK(totals.members > 5 * schedules);
         CHECK(totals.lostDisks > schedules / 4);
     }
     INFO(totals.failures.substr(0, 2000));
--- a/libs/cluster/group_simulation.cc
+++ b/libs/cluster/group_simulation.cc
@@ -14,6 +14,8 @@
     constexpr Duration settleTime = std::chrono::seconds(1);
     constexpr uint32_t firstAddress = 0x0A000001;
     constexpr uint16_t peerPort = 7720;
+    constexpr uint32_t firstAgent = 0x0B000100;
+    constexpr size_t memberCount = 4;
     const std::string dataCentre = "east";
 
 } // namespace
@@ -142,6 +144,12 @@
         m_instances.back()->start();
     }
     m_side.resize(instances);
+    for (uint32_t i = 0; i < memberCount; ++i) {
+        SimulatedMember member;
+        member.record.agent = { firstAgent + i, peerPort };
+        member.record.incarnation = 1;
+        m_members.push_back(member);
+    }
 }
 
 GroupSimulation::~GroupSimulation() = default;
@@ -167,6 +175,8 @@
 
 void GroupSimulation::send(size_t from, Endpoint to, const Envelope& envelope)
 {
+    if (to.address - firstAgent < m_members.size())
+        onPollReply(m_members[to.address - firstAgent], envelope);
     std::optional<size_t> index = indexOf(to);
     if (!index || isCut(from, *index) || m_random.unit() < m_loss)
         return;
@@ -208,6 +218,8 @@
         disturb();
     if (m_ordering && m_random.below(5) == 0)
         order();
+    if (m_ordering && m_random.below(8) == 0)
+        announce();
     deliver();
     for (auto& instance : m_instances)
         instance->tick();
@@ -350,6 +362,62 @@
     }
 }
 
+// Polls one instance as an agent and as an entry at once: announces a member and asks for a confirmation.
+void GroupSimulation::announce()
+{
+    SimulatedMember& member = m_members[m_random.below(m_members.size())];
+    steering::MemberRecord& record = member.record;
+    if (record.sequence == 0 || m_random.below(6) == 0) {
+        bool departs = record.state == steering::TargetState::Ready && m_random.below(2) == 0;
+        record.state = departs ? steering::TargetState::Departed : steering::TargetState::Ready;
+        ++record.sequence;
+        if (!departs)
+            record.targetStart = record.sequence;
+        member.registered = false;
+    }
+    Instance& instance = *m_instances[m_random.below(m_instances.size())];
+    if (!instance.isUp() || instance.isFrozen())
+        return;
+    Poll poll;
+    poll.wantsMembers = true;
+    poll.records = { record };
+    poll.confirmation = ++m_lastConfirmation;
+    std::vector<steering::MemberRecord>& registered = m_confirmations[m_lastConfirmation];
+    for (const SimulatedMember& other : m_members) {
+        if (other.registered)
+            registered.push_back(other.record);
+    }
+    instance.core()->onMessage(record.agent, { MessageKind::Poll, encodeMessage(poll) });
+}
+
+// A confirmed reply names every member that was registered when the poll was sent and has not departed since.
+void GroupSimulation::onPollReply(SimulatedMember& polled, const Envelope& envelope)
+{
+    PollReply reply;
+    if (!decodeMessage(envelope.body, reply))
+        return;
+    bool told = reply.registeredIncarnation == polled.record.incarnation
+        && reply.registeredStart == polled.record.targetStart;
+    if (told && polled.record.state == steering::TargetState::Ready)
+        polled.registered = true;
+    auto asked = m_confirmations.find(reply.confirmation);
+    if (asked == m_confirmations.end())
+        return;
+    for (const steering::MemberRecord& record : asked->second) {
+        auto member = std::find_if(m_members.begin(), m_members.end(),
+            [&](const SimulatedMember& candidate) { return candidate.record.agent == record.agent; });
+        if (!member->registered || !member->record.isSameStart(record))
+            continue;
+        bool named = std::any_of(reply.members.begin(), reply.members.end(), [&](const steering::MemberRecord& row) {
+            return row.agent == record.agent && row.state != steering::TargetState::Departed;
+        });
+        if (!named)
+            fail("a confirmed reply does not name a registered member");
+        ++m_confirmedMembers;
+    }
+    m_confirmations.erase(m_confirmations.begin(), std::next(asked));
+}
+
 void GroupSimulation::answered(RequestNumber request, const Answer& answer)
 {
     auto found = m_orders.find(request);
--- a/libs/cluster/group_simulation.h
+++ b/libs/cluster/group_simulation.h
@@ -24,6 +24,7 @@
     uint64_t acknowledgedOrders() const { return m_acknowledged; }
     uint64_t answeredReads() const { return m_reads; }
     uint64_t lostDisks() const { return m_lostDisks; }
+    uint64_t confirmedMembers() const { return m_confirmedMembers; }
 
 private:
     class Instance;
@@ -40,9 +41,17 @@
         uint64_t floor = 0; // read: newest version acknowledged before it was sent
     };
 
+    // A member whose target starts again and departs at times.
+    struct SimulatedMember {
+        steering::MemberRecord record;
+        bool registered = false; // an instance has said so for this start
+    };
+
     void step(bool chaotic);
     void disturb();
     void order();
+    void announce();
+    void onPollReply(SimulatedMember& polled, const Envelope&);
     void deliver();
     void checkLeaders();
     void checkEnd();
@@ -73,6 +82,11 @@
     bool m_outPending = false;
     uint64_t m_acknowledged = 0;
     uint64_t m_reads = 0;
+    std::vector<SimulatedMember> m_members;
+    // By number of the poll: the members that were registered when it was sent.
+    std::map<uint64_t, std::vector<steering::MemberRecord>> m_confirmations;
+    uint64_t m_lastConfirmation = 0;
+    uint64_t m_confirmedMembers = 0;
     uint64_t m_lostDisks = 0;
     bool m_diskRepairing = false;
     bool m_ordering = true;
--- a/libs/cluster/member_table.cc
+++ b/libs/cluster/member_table.cc
@@ -4,25 +4,96 @@
 
 namespace cicadaward::cluster {
 
-uint64_t MemberTable::update(const steering::MemberRecord& record)
+namespace {
+
+    bool isLive(steering::TargetState state)
+    {
+        return state != steering::TargetState::Gone && state != steering::TargetState::Departed;
+    }
+
+    steering::MemberRecord inState(steering::MemberRecord record, steering::TargetState state)
+    {
+        record.state = state;
+        return record;
+    }
+
+} // namespace
+
+void MemberTable::update(const steering::MemberRecord& record)
 {
     auto found = m_rows.find(record.agent);
     if (found == m_rows.end()) {
         if (m_rows.size() < steering::maxMembers)
-            m_rows[record.agent] = { record, ++m_version.number, m_clock.now() };
-        return record.incarnation;
+            change(m_rows[record.agent], record);
+        return;
     }
     Row& row = found->second;
-    if (row.record.incarnation == record.incarnation || record.isNewerThan(row.record))
+    if (row.record.incarnation == record.incarnation)
         row.heard = m_clock.now();
-    if (!record.isNewerThan(row.record))
-        return row.record.incarnation;
+    if (record.isNewerThan(row.record))
+        change(row, record);
+}
+
+uint64_t MemberTable::incarnationOf(Endpoint agent) const
+{
+    auto found = m_rows.find(agent);
+    return found == m_rows.end() ? 0 : found->second.record.incarnation;
+}
+
+void MemberTable::change(Row& row, const steering::MemberRecord& record)
+{
     row.record = record;
     row.number = ++m_version.number;
-    return record.incarnation;
+    row.heard = m_clock.now();
 }
 
-void MemberTable::answer(TableVersion known, PollReply& reply) const
+void MemberTable::follow(const MemberRegister& members)
+{
+    for (const auto& [agent, registered] : members) {
+        Row& row = m_rows[agent];
+        row.registered = true;
+        if (row.number != 0 && !registered.isNewerThan(row.record))
+            continue;
+        change(row, inState(registered, steering::TargetState::Unknown));
+    }
+    for (auto& [agent, row] : m_rows)
+        row.registered = row.registered && members.count(agent) != 0;
+}
+
+// Entries may have the removed record from here, so it is superseded instead of erased. A start that was removed for
+// its silence may still be alive; the next incarnation is above its announcements until it learns of it.
+void MemberTable::remove(const steering::MemberRecord& removed)
+{
+    auto found = m_rows.find(removed.agent);
+    if (found == m_rows.end())
+        return;
+    steering::MemberRecord tombstone = removed;
+    tombstone.incarnation += removed.state == steering::TargetState::Departed ? 0 : 1;
+    tombstone.state = steering::TargetState::Departed;
+    if (tombstone.isNewerThan(found->second.record))
+        change(found->second, tombstone);
+}
+
+RegisterChanges MemberTable::registerChanges(const MemberRegister& members) const
+{
+    RegisterChanges changes;
+    for (const auto& [agent, row] : m_rows) {
+        if (changes.add.size() + changes.remove.size() == maxRegisterChanges)
+            break;
+        const steering::MemberRecord& record = row.record;
+        auto found = members.find(agent);
+        bool listed = found != members.end() && found->second.isSameStart(record);
+        if (record.state == steering::TargetState::Ready && !listed)
+            changes.add.push_back(record);
+        else if (record.state == steering::TargetState::Departed && listed)
+            changes.remove.push_back(inState(found->second, steering::TargetState::Departed));
+        else if (found != members.end() && m_clock.now() - row.heard > deregisterAfter)
+            changes.remove.push_back(inState(found->second, steering::TargetState::Gone));
+    }
+    return changes;
+}
+
+bool MemberTable::answer(TableVersion known, PollReply& reply) const
 {
     uint64_t since = known.owner == m_version.owner ? known.number : 0;
     std::vector<const Row*> changed;
@@ -33,7 +104,8 @@
     // A cut-off reply carries the oldest changes and their last number, so the next poll continues there.
     std::sort(changed.begin(), changed.end(), [](const Row* a, const Row* b) { return a->number < b->number; });
     reply.table = m_version;
-    if (changed.size() > maxReplyMembers) {
+    bool complete = changed.size() <= maxReplyMembers;
+    if (!complete) {
         changed.resize(maxReplyMembers);
         reply.table.number = changed.back()->number;
     }
@@ -44,18 +116,22 @@
     for (const auto& [key, row] : m_rows) {
         if (m_clock.now() - row.heard <= announceSilence)
             ++heard;
-        else if (row.record.state != steering::TargetState::Gone && reply.silent.size() < maxReplyMembers)
+        else if (isLive(row.record.state) && reply.silent.size() < maxReplyMembers)
             reply.silent.push_back(row.record.agent);
     }
     // An instance that hears few of the agents is itself cut off and cannot judge them.
     if (2 * heard < m_rows.size())
         reply.silent.clear();
+    return complete;
 }
 
 void MemberTable::expire()
 {
-    for (auto i = m_rows.begin(); i != m_rows.end();)
-        i = m_clock.now() - i->second.heard > forgetAfter ? m_rows.erase(i) : std::next(i);
+    for (auto i = m_rows.begin(); i != m_rows.end();) {
+        const Row& row = i->second;
+        bool forgotten = !row.registered && m_clock.now() - row.heard > forgetAfter;
+        i = forgotten ? m_rows.erase(i) : std::next(i);
+    }
 }
 
 } // namespace cicadaward::cluster
--- a/libs/cluster/member_table.h
+++ b/libs/cluster/member_table.h
@@ -1,5 +1,6 @@
-// The members as one control instance hears of them from their agents. It is soft state: nothing is replicated, every
-// agent announces itself to every control instance, and entries merge what they hear from all of them.
+// The members as one control instance hears of them from their agents. Their states are soft: every agent announces
+// itself to every control instance, and entries merge what they hear from all of them. Members of the replicated
+// register always have a row, also before their agents have been heard.
 //
 // Each change has a number, so a poll costs as much as has changed. Memory: at most steering::maxMembers records.
 #pragma once
@@ -13,7 +14,16 @@
 namespace cicadaward::cluster {
 
 constexpr Duration announceSilence = std::chrono::seconds(3);
-constexpr Duration forgetAfter = std::chrono::seconds(90);
+constexpr Duration forgetAfter = std::chrono::seconds(90); // a member that is not registered
+// A registered member that is silent may hold flows of a whole shift behind a cut.
+constexpr Duration deregisterAfter = std::chrono::hours(12);
+
+// What the leader should write into the register.
+struct RegisterChanges {
+    std::vector<steering::MemberRecord> add;
+    std::vector<steering::MemberRecord> remove;
+};
+constexpr size_t maxRegisterChanges = 512; // in one command
 
 class MemberTable {
 public:
@@ -23,13 +33,20 @@
     {
     }
 
-    // Returns the incarnation of the record that is held now; it is above the given one's when that came from a process
-    // that has ended, or from one whose clock was set back before it started.
-    uint64_t update(const steering::MemberRecord&);
-    // Fills table, members and silent of the reply for a poller that has `known`.
-    void answer(TableVersion known, PollReply&) const;
-    // Drops members that have been silent for long.
+    void update(const steering::MemberRecord&);
+    // The incarnation of the record that is held; 0 without one. It is above that of a live agent when the agent's
+    // clock was set back before it started.
+    uint64_t incarnationOf(Endpoint agent) const;
+    // Takes the register's members; call after each change of it.
+    void follow(const MemberRegister&);
+    // The register has dropped this start: departed, or silent for long (state Gone).
+    void remove(const steering::MemberRecord&);
+    RegisterChanges registerChanges(const MemberRegister&) const;
+    // Fills table, members and silent of the reply for a poller that has `known`. False when members are left out.
+    bool answer(TableVersion known, PollReply&) const;
+    // Drops members that have been silent for long and are not registered.
     void expire();
+    TableVersion version() const { return m_version; }
     size_t size() const { return m_rows.size(); }
 
 private:
@@ -37,7 +54,9 @@
         steering::MemberRecord record;
         uint64_t number = 0; // of its last change
         Time heard;
+        bool registered = false;
     };
+    void change(Row&, const steering::MemberRecord&);
 
     const Clock& m_clock;
     TableVersion m_version;
--- a/libs/cluster/messages.h
+++ b/libs/cluster/messages.h
@@ -29,6 +29,7 @@
     TableVersion table;
     bool wantsMembers = false;
     std::vector<steering::MemberRecord> records; // an agent's own one
+    uint64_t confirmation = 0; // not 0: the leader answers only once it has confirmed that it leads, with this number
 };
 
 struct PollReply {
@@ -41,6 +42,10 @@
     Endpoint leader; // administration API of the leader; port 0 while unknown
     uint64_t term = 0; // in which it leads
     uint64_t newestIncarnation = 0; // of the poller's own record as the sender knows it
+    uint64_t registeredIncarnation = 0; // of the poller's own record in the register, with its targetStart; 0: none
+    uint64_t registeredStart = 0;
+    // Number of the poll when this reply, with those before it, holds all registered members and the newest state.
+    uint64_t confirmation = 0;
 };
 
 constexpr size_t maxReplyMembers = 512;
--- a/libs/cluster/poller.cc
+++ b/libs/cluster/poller.cc
@@ -23,7 +23,7 @@
 {
 }
 
-void Poller::poll(Endpoint control)
+void Poller::poll(Endpoint control, uint64_t confirmation)
 {
     Poll poll;
     poll.stateIndex = m_stateIndex;
@@ -32,13 +32,34 @@
     if (found != m_tables.end())
         poll.table = found->second;
     poll.records = m_output.ownRecords();
+    poll.confirmation = confirmation;
     m_output.sendMessage(control, { MessageKind::Poll, encodeMessage(poll) });
 }
 
 void Poller::pollAll()
 {
     for (Endpoint control : m_controls)
-        poll(control);
+        poll(control, 0);
+}
+
+void Poller::confirmMembers()
+{
+    Time now = m_clock.now();
+    if (now < m_nextConfirmation)
+        return;
+    m_nextConfirmation = now + m_options.confirmationInterval;
+    m_confirmationTimes[++m_confirmation % m_confirmationTimes.size()] = now;
+    for (Endpoint control : m_controls)
+        poll(control, m_confirmation);
+}
+
+// The reply's members and state have been taken before.
+void Poller::takeConfirmation(const PollReply& reply)
+{
+    bool known
+        = reply.confirmation <= m_confirmation && reply.confirmation + m_confirmationTimes.size() > m_confirmation;
+    if (reply.confirmation != 0 && known && reply.stateIndex <= m_stateIndex)
+        m_output.membersConfirmed(m_confirmationTimes[reply.confirmation % m_confirmationTimes.size()]);
 }
 
 void Poller::onTick()
@@ -51,8 +72,8 @@
     if (m_controls.empty() || now < m_nextPoll)
         return;
     m_next = (m_next + 1) % m_controls.size();
-    poll(m_controls[m_next]);
-    Duration interval = m_stateIndex == 0 ? m_options.startInterval : m_options.interval;
+    poll(m_controls[m_next], 0);
+    Duration interval = m_stateIndex == 0 || m_output.isWaiting() ? m_options.startInterval : m_options.interval;
     m_nextPoll = now + interval / static_cast<int>(m_controls.size());
 }
 
@@ -74,6 +95,8 @@
     }
     if (reply.newestIncarnation != 0)
         m_output.noteIncarnation(reply.newestIncarnation);
+    if (reply.registeredIncarnation != 0)
+        m_output.takeRegistration(reply.registeredIncarnation, reply.registeredStart);
     if (reply.leader.port != 0)
         m_output.takeLeader(reply.leader, reply.term);
     learn(reply.stateIndex, reply.controls);
@@ -91,6 +114,7 @@
         m_output.takeMember(record);
     for (Endpoint agent : reply.silent)
         m_output.suspectMember(agent);
+    takeConfirmation(reply);
 }
 
 // The seeds stay in the list: they are the way back when all instances have been replaced meanwhile.
--- a/libs/cluster/poller.h
+++ b/libs/cluster/poller.h
@@ -13,6 +13,7 @@
 #include "core/clock.h"
 #include "core/random.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <set>
@@ -24,7 +25,8 @@
     std::vector<Endpoint> seeds; // control datagram endpoints
     bool wantsMembers = false;
     Duration interval = std::chrono::milliseconds(800); // in which every control instance is polled once
-    Duration startInterval = std::chrono::milliseconds(120); // same, until there is a state
+    Duration startInterval = std::chrono::milliseconds(120); // same, until there is a state, or while isWaiting()
+    Duration confirmationInterval = std::chrono::milliseconds(50); // shortest time between two confirmations
 };
 
 constexpr size_t maxControls = 32;
@@ -42,6 +44,12 @@
     virtual void suspectMember(Endpoint) { }
     // The own record is known under this incarnation.
     virtual void noteIncarnation(uint64_t) { }
+    // The register has this start of the own target.
+    virtual void takeRegistration(uint64_t /* incarnation */, uint64_t /* targetStart */) { }
+    // True while the process waits for something that only a reply can bring.
+    virtual bool isWaiting() { return false; }
+    // Members and state were complete at a time not before `asked`.
+    virtual void membersConfirmed(Time /* asked */) { }
     // The announcement of this process, or nothing.
     virtual std::vector<steering::MemberRecord> ownRecords() { return {}; }
     // Where operators find the leader of `term`.
@@ -57,6 +65,8 @@
     void onReply(Endpoint sender, const PollReply&);
     // Polls all control instances at once: at the start and after a change of the own record.
     void pollAll();
+    // Asks for membersConfirmed(), unless that was done within the confirmation interval.
+    void confirmMembers();
     // Control instances that were learned in another way. They count until a reply with a state names others.
     void learn(const std::vector<Endpoint>& controls) { learn(0, controls); }
 
@@ -65,7 +75,8 @@
     const std::vector<Endpoint>& controls() const { return m_controls; }
 
 private:
-    void poll(Endpoint control);
+    void poll(Endpoint control, uint64_t confirmation);
+    void takeConfirmation(const PollReply&);
     void learn(LogIndex index, const std::vector<Endpoint>& controls);
 
     const PollerOptions m_options;
@@ -78,6 +89,9 @@
     Time m_lastReply;
     bool m_inContact = false;
     LogIndex m_stateIndex = 0;
+    uint64_t m_confirmation = 0; // number of the last one that was asked for
+    std::array<Time, 16> m_confirmationTimes {}; // by number; replies may be several intervals late
+    Time m_nextConfirmation;
     LogIndex m_controlsIndex = 0; // state index of the reply that named m_controls
 };
 
--- a/libs/cluster/state.cc
+++ b/libs/cluster/state.cc
@@ -16,41 +16,91 @@
         std::set<std::string> out;
         std::map<InstanceId, InstanceAddress> instances;
         std::set<InstanceId> retired;
+        std::vector<steering::MemberRecord> members; // missing in snapshots of earlier versions
 
-        MSGPACK_DEFINE_ARRAY(index, configuration, text, out, instances, retired)
+        MSGPACK_DEFINE_ARRAY(index, configuration, text, out, instances, retired, members)
     };
 
 } // namespace
 
 void State::apply(LogIndex index, const Command& command)
 {
+    bool changed = false; // what entries and agents see
     switch (command.kind) {
     case CommandKind::PutConfiguration:
-        if (command.configuration.version <= m_routes.version())
-            return;
-        m_routes = steering::RouteTable::successor(m_routes, command.configuration);
-        m_text = command.text;
+        changed = applyConfiguration(command);
         break;
     case CommandKind::SetDataCentre:
-        if (command.out ? !m_out.insert(command.dataCentre).second : m_out.erase(command.dataCentre) == 0)
-            return;
+        changed = applyDataCentre(command);
         break;
     case CommandKind::SetInstance:
-        for (auto i = m_instances.begin(); i != m_instances.end();) {
-            bool replaced = i->second.peer == command.address.peer && i->first != command.instance;
-            if (replaced && m_retired.size() < maxRetired)
-                m_retired.insert(i->first);
-            i = replaced ? m_instances.erase(i) : std::next(i);
+        applyInstance(command);
+        changed = true;
+        break;
+    case CommandKind::RegisterMembers:
+        for (const steering::MemberRecord& record : command.members)
+            registerMember(record);
+        break;
+    case CommandKind::RemoveMembers:
+        for (const steering::MemberRecord& record : command.members) {
+            if (isRegistered(record))
+                m_members.erase(record.agent);
         }
-        m_instances[command.instance] = command.address;
         break;
     }
-    m_index = index;
+    if (changed)
+        m_index = index;
+}
+
+bool State::applyConfiguration(const Command& command)
+{
+    if (command.configuration.version <= m_routes.version())
+        return false;
+    m_routes = steering::RouteTable::successor(m_routes, command.configuration);
+    m_text = command.text;
+    return true;
+}
+
+bool State::applyDataCentre(const Command& command)
+{
+    return command.out ? m_out.insert(command.dataCentre).second : m_out.erase(command.dataCentre) != 0;
+}
+
+void State::applyInstance(const Command& command)
+{
+    for (auto i = m_instances.begin(); i != m_instances.end();) {
+        bool replaced = i->second.peer == command.address.peer && i->first != command.instance;
+        if (replaced && m_retired.size() < maxRetired)
+            m_retired.insert(i->first);
+        i = replaced ? m_instances.erase(i) : std::next(i);
+    }
+    m_instances[command.instance] = command.address;
+}
+
+// A record that was announced before the registered one, and comes late, changes nothing.
+void State::registerMember(const steering::MemberRecord& record)
+{
+    auto found = m_members.find(record.agent);
+    if (found == m_members.end() && m_members.size() < steering::maxMembers)
+        m_members[record.agent] = record;
+    else if (found != m_members.end() && record.isNewerThan(found->second))
+        found->second = record;
+}
+
+bool State::isRegistered(const steering::MemberRecord& record) const
+{
+    auto found = m_members.find(record.agent);
+    return found != m_members.end() && found->second.isSameStart(record);
 }
 
 std::string State::encode() const
 {
-    return encodeMessage(StateImage { m_index, m_routes.configuration(), m_text, m_out, m_instances, m_retired });
+    std::vector<steering::MemberRecord> members;
+    members.reserve(m_members.size());
+    for (const auto& [agent, record] : m_members)
+        members.push_back(record);
+    return encodeMessage(
+        StateImage { m_index, m_routes.configuration(), m_text, m_out, m_instances, m_retired, std::move(members) });
 }
 
 bool State::decode(const std::string& bytes)
@@ -64,6 +114,9 @@
     m_out = std::move(image.out);
     m_instances = std::move(image.instances);
     m_retired = std::move(image.retired);
+    m_members.clear();
+    for (steering::MemberRecord& record : image.members)
+        m_members[record.agent] = std::move(record);
     return true;
 }
 
--- a/libs/cluster/state.h
+++ b/libs/cluster/state.h
@@ -1,12 +1,18 @@
-// The replicated state: the configuration in force, the data centres that are out, and the addresses of the control
-// instances. Commands are applied in log order by every instance; equal logs give equal states.
+// The replicated state: the configuration in force, the data centres that are out, the addresses of the control
+// instances, and the register of members. Commands are applied in log order by every instance; equal logs give equal
+// states.
 //
 // The register of the configuration takes the highest version. A command with the version held, or a lower one, changes
 // nothing, so a repeated order is harmless and other content under a version held never takes force.
+//
+// The register names every target that may hold flows: a target gets no flow before the register has its start, and
+// leaves it when it departs. Whoever has the newest register can therefore tell that nobody holds a flow, also after
+// all processes have lost their memory.
 #pragma once
 
 #include "core/ids.h"
 #include "directory/directory.h"
+#include "steering/members.h"
 #include "steering/route_table.h"
 #include "store/records.h"
 
@@ -27,7 +33,7 @@
     }
 };
 
-enum class CommandKind : uint8_t { PutConfiguration, SetDataCentre, SetInstance };
+enum class CommandKind : uint8_t { PutConfiguration, SetDataCentre, SetInstance, RegisterMembers, RemoveMembers };
 
 struct Command {
     CommandKind kind = CommandKind::PutConfiguration;
@@ -37,6 +43,7 @@
     bool out = false;
     InstanceId instance;
     InstanceAddress address;
+    std::vector<steering::MemberRecord> members;
 };
 
 // What entries and agents need of the state.
@@ -46,6 +53,8 @@
     std::set<std::string> out; // data centres
 };
 
+using MemberRegister = std::map<Endpoint, steering::MemberRecord>; // by agent
+
 class State {
 public:
     void apply(LogIndex, const Command&);
@@ -57,6 +66,10 @@
     const std::map<InstanceId, InstanceAddress>& instances() const { return m_instances; }
     // A lost disk's identity: another one has registered at its address since.
     bool isRetired(InstanceId id) const { return m_retired.count(id) != 0; }
+    // The register, by agent: the record with which each target's current start was announced.
+    const MemberRegister& members() const { return m_members; }
+    // True when the register has this start of the record's target.
+    bool isRegistered(const steering::MemberRecord&) const;
 
     std::string encode() const;
     // False when the bytes are no state; the state is then unchanged.
@@ -64,12 +77,18 @@
     ForwardingState forwarding() const;
 
 private:
+    bool applyConfiguration(const Command&);
+    bool applyDataCentre(const Command&);
+    void applyInstance(const Command&);
+    void registerMember(const steering::MemberRecord&);
+
     LogIndex m_index = 0; // of the newest command that changed what entries and agents see
     steering::RouteTable m_routes;
     std::string m_text;
     std::set<std::string> m_out;
     std::map<InstanceId, InstanceAddress> m_instances;
     std::set<InstanceId> m_retired;
+    MemberRegister m_members;
 };
 
 } // namespace cicadaward::cluster
--- a/libs/directory/codec.h
+++ b/libs/directory/codec.h
@@ -51,11 +51,15 @@
         };
 
 // Packs the named fields of a struct as an array, in this order.
-#define CICADAWARD_CODEC(TYPE, COUNT, ...)                                                                             \
+#define CICADAWARD_CODEC(TYPE, COUNT, ...) CICADAWARD_GROWN_CODEC(TYPE, COUNT, COUNT, __VA_ARGS__)
+
+// The same for a struct that had only its first MINIMUM fields in an earlier version: fields that are missing at the
+// end keep their defaults, so logs and messages of that version stay readable.
+#define CICADAWARD_GROWN_CODEC(TYPE, MINIMUM, COUNT, ...)                                                              \
     template <> struct convert<TYPE> {                                                                                 \
         const msgpack::object& operator()(const msgpack::object& o, TYPE& v) const                                     \
         {                                                                                                              \
-            if (o.type != msgpack::type::ARRAY || o.via.array.size < (COUNT))                                          \
+            if (o.type != msgpack::type::ARRAY || o.via.array.size < (MINIMUM))                                        \
                 throw msgpack::type_error();                                                                           \
             unpackFields(o, __VA_ARGS__);                                                                              \
             return o;                                                                                                  \
@@ -63,7 +67,7 @@
         template <typename... Fields> static void unpackFields(const msgpack::object& o, Fields&... fields)            \
         {                                                                                                              \
             size_t i = 0;                                                                                              \
-            ((fields = o.via.array.ptr[i++].as<Fields>()), ...);                                                       \
+            ((i < o.via.array.size ? void(fields = o.via.array.ptr[i++].as<Fields>()) : void()), ...);                 \
         }                                                                                                              \
     };                                                                                                                 \
     template <> struct pack<TYPE> {                                                                                    \
--- a/libs/observe/events.cc
+++ b/libs/observe/events.cc
@@ -80,6 +80,8 @@
         { EventId::HeartbeatOutdated, EventLevel::Info, "heartbeat-outdated",
             "a heartbeat is late or from an earlier start of the target; nothing changed" },
         { EventId::MemberChanged, EventLevel::Info, "member-changed", "a member's newer record was taken" },
+        { EventId::MemberRegistered, EventLevel::Info, "member-registered",
+            "the members' register has the target's start; it may get new flows" },
 
         { EventId::PacketDropped, EventLevel::Warning, "packet-dropped",
             "packets dropped for one reason; at most one line for each reason and second, with the count" },
@@ -125,6 +127,9 @@
         { EventId::GroupChanged, EventLevel::Info, "group-changed",
             "the leader changes the membership of the control group" },
         { EventId::StoreReopened, EventLevel::Info, "store-reopened", "the store works again after a failure" },
+        { EventId::MembersRegistered, EventLevel::Info, "members-registered",
+            "starts of targets entered the members' register" },
+        { EventId::MembersRemoved, EventLevel::Info, "members-removed", "departed targets left the members' register" },
 
         { EventId::RetryBudgetSpent, EventLevel::Warning, "retry-budget-spent",
             "a request was not retried because the retry budget is spent" },
--- a/libs/observe/events.h
+++ b/libs/observe/events.h
@@ -53,6 +53,7 @@
     HeartbeatRefused = 313,
     HeartbeatOutdated = 314,
     MemberChanged = 315,
+    MemberRegistered = 316,
 
     PacketDropped = 400,
     MessageNotAuthenticated = 401,
@@ -85,6 +86,8 @@
     OrderAnswered = 521,
     GroupChanged = 522,
     StoreReopened = 523,
+    MembersRegistered = 524,
+    MembersRemoved = 525,
 
     RetryBudgetSpent = 600,
     RequestIdConflict = 601,
--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -54,9 +54,17 @@
 
 HeartbeatResult AgentSteering::onHeartbeat(const Heartbeat& heartbeat)
 {
+    bool knewTarget = m_registration.target().has_value();
     HeartbeatResult result = m_registration.onHeartbeat(heartbeat);
-    if (result == HeartbeatResult::NewTarget && m_registration.sawStart())
-        loseFlows();
+    if (result == HeartbeatResult::NewTarget) {
+        m_newStart = true;
+        m_registeredStart = 0;
+        m_overflowed = false;
+        if (m_registration.sawStart())
+            loseFlows();
+        else if (knewTarget)
+            dropFlows();
+    }
     if (result != HeartbeatResult::Outdated)
         m_unansweredInRow = 0;
     return result;
@@ -85,22 +93,44 @@
     m_work.reset();
 }
 
+// Some of the flows may belong to the new start, whose first heartbeat did not come to this process: the target shows
+// which ones it holds.
+void AgentSteering::dropFlows()
+{
+    m_flows.clear();
+    m_closing = 0;
+    m_unanswered.clear();
+    m_unconfirmed.clear();
+    m_work.reset();
+}
+
 const MemberRecord& AgentSteering::record()
 {
     TargetState state = m_registration.state();
     ServiceKey service = m_registration.target() ? m_registration.target()->service : ServiceKey();
-    if (state != m_record.state || service != m_record.service) {
+    if (state != m_record.state || service != m_record.service || m_newStart) {
         m_record.state = state;
         m_record.service = service;
         ++m_record.sequence;
+        if (m_newStart)
+            m_record.targetStart = m_record.sequence;
+        m_newStart = false;
     }
     return m_record;
 }
 
+void AgentSteering::onRegistered(uint64_t incarnation, uint64_t targetStart)
+{
+    if (incarnation == m_record.incarnation && !m_newStart)
+        m_registeredStart = targetStart;
+}
+
 void AgentSteering::outlive(uint64_t incarnation)
 {
-    if (incarnation > m_record.incarnation)
-        m_record.incarnation = incarnation + 1;
+    if (incarnation <= m_record.incarnation)
+        return;
+    m_record.incarnation = incarnation + 1;
+    m_registeredStart = 0;
 }
 
 uint16_t AgentSteering::load() const
@@ -143,6 +173,10 @@
         return "target is draining";
     if (m_registration.state() == TargetState::Gone)
         return "target is gone";
+    if (m_registration.state() == TargetState::Departed)
+        return "target has departed";
+    if (!isRegistered())
+        return "target is not registered yet";
     if (m_evacuated.count(m_options.dataCentre) != 0)
         return "data centre is out";
     const ServicePolicy* policy = m_routes.policy(m_registration.target()->service);
@@ -185,7 +219,8 @@
     ServiceKey own = m_registration.target() ? m_registration.target()->service : ServiceKey();
     const char* reason = frame.service != own ? "another service" : refusalReason();
     if (reason) {
-        frame.mayRecover = frame.mayRecover || !m_hasState || m_registration.state() == TargetState::Unknown;
+        bool mayRecover = !m_hasState || m_registration.state() == TargetState::Unknown || awaitsRegistration();
+        frame.mayRecover = frame.mayRecover || mayRecover;
         passOn(frame, packet, reason, data, size);
         return;
     }
@@ -266,10 +301,13 @@
         return;
     }
     if (found == m_flows.end()) {
-        if (m_registration.sawStart() || !mayBelong(packet.flow)) {
+        bool isKnown = (m_registration.sawStart() && !m_overflowed) || m_registration.state() == TargetState::Departed;
+        if (isKnown || !mayBelong(packet.flow)) {
+            frame.uncertain = frame.uncertain || !isKnown; // the routes known here may be older than the flow
             passOn(frame, packet, "not held", data, size);
             return;
         }
+        m_overflowed = m_overflowed || m_flows.size() >= m_options.maxFlows;
         if (m_flows.size() < m_options.maxFlows) {
             Flow flow;
             flow.opened = m_clock.now();
@@ -320,7 +358,10 @@
     m_output.sendToCaller(packet->flow, data, size);
     auto found = m_flows.find(packet->flow);
     if (found == m_flows.end()) {
-        if (packet->reset || m_flows.size() >= m_options.maxFlows)
+        if (packet->reset)
+            return;
+        m_overflowed = m_overflowed || m_flows.size() >= m_options.maxFlows;
+        if (m_flows.size() >= m_options.maxFlows)
             return;
         found = m_flows.emplace(packet->flow, Flow()).first;
         found->second.opened = m_clock.now();
--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -67,6 +67,11 @@
 
     // The record that other processes shall know; its sequence rises with each change.
     const MemberRecord& record();
+    // The current start of the target stands in the members' register, under this incarnation of the agent and start.
+    // New flows wait for it, since entries take the register for the list of all targets that may hold a flow.
+    void onRegistered(uint64_t incarnation, uint64_t targetStart);
+    bool awaitsRegistration() const { return m_registration.state() == TargetState::Ready && !isRegistered(); }
+    bool isRegistered() const { return m_registeredStart != 0 && m_registeredStart == m_record.targetStart; }
     // Another record of this agent is known under `incarnation`; the own one must supersede it. The clock that gave
     // this process its incarnation may have been set back before the start.
     void outlive(uint64_t incarnation);
@@ -98,6 +103,7 @@
     void onDelivery(Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void accept(Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void passOn(Frame&, const FlowPacket&, const char* reason, const uint8_t* data, size_t size);
+    void dropFlows();
     void giveToTarget(const Frame&, uint8_t* data, size_t size);
     void onBounced(const FlowPacket&, uint8_t* data, size_t size);
     void onRequestBytes(Flow&);
@@ -122,6 +128,9 @@
     Time m_evacuationColdUntil;
     TargetRegistration m_registration;
     MemberRecord m_record;
+    uint64_t m_registeredStart = 0;
+    bool m_newStart = false; // the record does not show the current start of the target yet
+    bool m_overflowed = false; // flows of the target's current start may be missing in m_flows
     WorkMeter m_work;
     absl::flat_hash_map<FlowId, Flow> m_flows;
     size_t m_closing = 0; // flows of which an end has closed
--- a/libs/steering/entry_steering.cc
+++ b/libs/steering/entry_steering.cc
@@ -12,6 +12,9 @@
     constexpr size_t offerMembers = 8;
     // Bounds the bookkeeping of unanswered offers; older ones are forgotten without a strike.
     constexpr size_t maxPendingOffers = 4096;
+    constexpr size_t maxDenied = 4096;
+    // A denial that has not been confirmed by then is dropped; a repeated packet starts anew.
+    constexpr Duration confirmationLimit = std::chrono::seconds(1);
     constexpr Duration expiryInterval = std::chrono::seconds(1);
     constexpr Duration defaultIdleLimit = std::chrono::seconds(15);
 
@@ -97,8 +100,12 @@
     Time now = m_clock.now();
     known->lastPacket = now;
     known->closing = known->closing || packet.fin || packet.reset;
+    const MemberRecord* member = known->agent.port != 0 ? m_members.find(known->agent) : nullptr;
+    if (member && member->state == TargetState::Departed) {
+        known->agent = {};
+        known->searched = false;
+    }
     if (known->agent.port != 0) {
-        const MemberRecord* member = m_members.find(known->agent);
         Frame frame;
         frame.service = member ? member->service : ServiceKey();
         frame.entry = m_options.self;
@@ -115,7 +122,7 @@
 }
 
 void EntrySteering::search(
-    const FlowPacket& packet, Position& position, Endpoint except, const uint8_t* data, size_t size)
+    const FlowPacket& packet, Position& position, Endpoint last, const uint8_t* data, size_t size)
 {
     const Route* route = m_routes.find(packet.flow.service);
     if (!route) {
@@ -124,11 +131,13 @@
     }
     uint64_t hash = packet.flow.hash();
     std::vector<Endpoint> members = m_members.forOldFlow(hash, *route, route->draw(hash), maxFrameMembers);
-    members.erase(std::remove(members.begin(), members.end(), except), members.end());
     if (members.empty()) {
-        m_observer.decided(Decision::NotHeld, packet.flow, { except, "no member to ask", m_routes.version() });
+        m_observer.decided(Decision::NotHeld, packet.flow, { last, "no member to ask", m_routes.version() });
         return;
     }
+    auto denying = std::find(members.begin(), members.end(), last);
+    if (denying != members.end())
+        std::rotate(denying, denying + 1, members.end());
     Frame frame;
     frame.entry = m_options.self;
     frame.next = 1;
@@ -207,10 +216,69 @@
     if (found->second.agent == sender)
         found->second.agent = {};
     // A packet that a known agent gave back has not been searched for yet.
-    if (found->second.agent.port == 0 && frame.members.size() == 1 && !found->second.searched)
+    if (found->second.agent.port != 0)
+        return;
+    if (frame.members.size() == 1 && !found->second.searched)
         search(*packet, found->second, sender, data, size);
     else
-        m_observer.decided(Decision::NotHeld, packet->flow, { sender, "all members asked", m_routes.version() });
+        onDenied(*packet, frame, found->second);
+}
+
+void EntrySteering::onDenied(const FlowPacket& packet, const Frame& frame, Position& position)
+{
+    const char* reason = frame.uncertain ? "a member is not certain" : "all members asked";
+    m_observer.decided(Decision::NotHeld, packet.flow, { {}, reason, m_routes.version() });
+    position.searched = false; // the next packet is searched anew
+    if (frame.uncertain || packet.reset || position.denied || m_denied.size() >= maxDenied)
+        return;
+    position.denied = true;
+    m_denied.push_back({ packet.flow, packet.acknowledged, m_clock.now(),
+        std::vector<Endpoint>(frame.members.begin(), frame.members.end()) });
+    m_output.confirmMembers();
+}
+
+void EntrySteering::onMembersConfirmed(Time asked)
+{
+    while (!m_denied.empty() && m_denied.front().at < asked) {
+        Denied denied = std::move(m_denied.front());
+        m_denied.pop_front();
+        auto found = m_flows.find(denied.flow);
+        if (found == m_flows.end())
+            continue;
+        found->second.denied = false;
+        if (found->second.agent.port != 0 || !isComplete(denied))
+            continue;
+        found->second.closing = true;
+        m_output.sendToCaller(denied.flow, m_format.reset(denied.flow, denied.acknowledged));
+        m_observer.decided(Decision::Reset, denied.flow, { {}, "no target holds it", m_routes.version() });
+    }
+}
+
+// True when every member that may hold a flow of the route has denied this one.
+bool EntrySteering::isComplete(const Denied& denied) const
+{
+    const Route* route = m_routes.find(denied.flow.service);
+    if (!route || route->former.size() >= maxFormerServices)
+        return false; // services before the remembered ones may hold it
+    uint64_t hash = denied.flow.hash();
+    std::vector<Endpoint> members = m_members.forOldFlow(hash, *route, route->draw(hash), maxFrameMembers + 1);
+    if (members.size() > maxFrameMembers)
+        return false;
+    return std::all_of(members.begin(), members.end(), [&](Endpoint member) {
+        return std::find(denied.members.begin(), denied.members.end(), member) != denied.members.end();
+    });
+}
+
+void EntrySteering::expireDenied()
+{
+    while (!m_denied.empty() && m_clock.now() - m_denied.front().at > confirmationLimit) {
+        auto found = m_flows.find(m_denied.front().flow);
+        if (found != m_flows.end())
+            found->second.denied = false;
+        m_denied.pop_front();
+    }
+    if (!m_denied.empty())
+        m_output.confirmMembers();
 }
 
 // A reset ends the attempt at once, so the caller can try again while its objective can still be met. It is sent for
@@ -268,6 +336,7 @@
 void EntrySteering::onTick()
 {
     checkOffers();
+    expireDenied();
     if (m_clock.now() - m_lastExpiry >= expiryInterval)
         expire();
 }
--- a/libs/steering/entry_steering.h
+++ b/libs/steering/entry_steering.h
@@ -7,7 +7,12 @@
 //     steering.onFrame(agent, data, size);
 //
 // The entry holds no state that correctness rests on: its cache of flow positions is a hint, and the target decides
-// whether it holds a flow. Memory: at most `cacheEntries` positions of about 80 bytes.
+// whether it holds a flow. Memory: at most `cacheEntries` positions of about 80 bytes and `maxDenied` denied flows.
+//
+// A flow that all members deny is reset only when the member list is proved complete: a target gets no flow before the
+// members' register names it, so the list that the leader confirms after the denial, together with the routes of the
+// leader's state, contains every target that can hold the flow. Without that proof a packet that nobody takes is
+// dropped; the caller repeats it.
 #pragma once
 
 #include "core/clock.h"
@@ -40,6 +45,8 @@
     virtual ~EntryOutput() = default;
     virtual void sendFrame(Endpoint agent, const std::vector<uint8_t>& frame) = 0;
     virtual void sendToCaller(const FlowId&, const std::vector<uint8_t>& packet) = 0;
+    // Answered by onMembersConfirmed(), or not at all; the entry asks again.
+    virtual void confirmMembers() = 0;
 };
 
 class EntrySteering {
@@ -55,6 +62,9 @@
 
     void onCallerPacket(const uint8_t* data, size_t size);
     void onFrame(Endpoint sender, const uint8_t* data, size_t size);
+    // The leader has confirmed that members() held every registered member and routes() the newest state at a time not
+    // before `asked`.
+    void onMembersConfirmed(Time asked);
     // Call about every 20 ms while packets flow; expires at most once a second.
     void onTick();
 
@@ -68,8 +78,16 @@
         Time firstSearch;
         Time lastBroadcast;
         bool searched = false;
+        bool denied = false; // stands in m_denied
         bool closing = false;
     };
+    // A flow that all of `members` have denied.
+    struct Denied {
+        FlowId flow;
+        uint32_t acknowledged; // by the caller's last packet
+        Time at;
+        std::vector<Endpoint> members;
+    };
     struct PendingOffer {
         FlowId flow;
         Endpoint first;
@@ -79,15 +97,18 @@
 
     void onOpen(const FlowPacket&, const uint8_t* data, size_t size);
     void onData(const FlowPacket&, const uint8_t* data, size_t size);
-    void search(const FlowPacket&, Position&, Endpoint except, const uint8_t* data, size_t size);
+    void search(const FlowPacket&, Position&, Endpoint last, const uint8_t* data, size_t size);
     void broadcast(const FlowPacket&, Position&, const uint8_t* data, size_t size);
     void onLocated(Endpoint sender, const FlowId&);
     void onReturned(Endpoint sender, const Frame&, const uint8_t* packet, size_t size);
+    void onDenied(const FlowPacket&, const Frame&, Position&);
+    bool isComplete(const Denied&) const;
     void refuse(const FlowPacket&, const char* reason);
     void send(Endpoint agent, const Frame&, const uint8_t* packet, size_t size);
     Position* position(const FlowId&);
     void strike(Endpoint agent);
     void checkOffers();
+    void expireDenied();
     void expire();
 
     const EntryOptions m_options;
@@ -100,6 +121,7 @@
     Members m_members;
     absl::flat_hash_map<FlowId, Position> m_flows;
     std::deque<PendingOffer> m_offers; // oldest first
+    std::deque<Denied> m_denied; // oldest first
     absl::flat_hash_map<Endpoint, uint8_t> m_strikes; // by agent
     Time m_lastExpiry;
     std::vector<uint8_t> m_buffer;
--- a/libs/steering/frame.cc
+++ b/libs/steering/frame.cc
@@ -9,6 +9,14 @@
     constexpr size_t endpointBytes = 6;
     constexpr uint8_t compareFlag = 1;
     constexpr uint8_t mayRecoverFlag = 2;
+    constexpr uint8_t uncertainFlag = 4;
+
+    uint8_t flagsOf(const Frame& frame)
+    {
+        unsigned flags = (frame.compare ? compareFlag : 0U) | (frame.mayRecover ? mayRecoverFlag : 0U)
+            | (frame.uncertain ? uncertainFlag : 0U);
+        return static_cast<uint8_t>(flags);
+    }
 
     template <typename Integer> void put(std::vector<uint8_t>& out, Integer value)
     {
@@ -46,7 +54,7 @@
     out.reserve(fixedBytes + endpointBytes * frame.members.size() + packetSize);
     put(out, frameMagic);
     put(out, static_cast<uint8_t>(frame.kind));
-    put(out, static_cast<uint8_t>((frame.compare ? compareFlag : 0) | (frame.mayRecover ? mayRecoverFlag : 0)));
+    put(out, flagsOf(frame));
     put(out, frame.next);
     put(out, frame.best);
     put(out, frame.bestLoad);
@@ -72,6 +80,7 @@
     auto flags = take<uint8_t>(at);
     frame.compare = (flags & compareFlag) != 0;
     frame.mayRecover = (flags & mayRecoverFlag) != 0;
+    frame.uncertain = (flags & uncertainFlag) != 0;
     frame.next = take<uint8_t>(at);
     frame.best = take<uint8_t>(at);
     frame.bestLoad = take<uint16_t>(at);
--- a/libs/steering/members.cc
+++ b/libs/steering/members.cc
@@ -21,6 +21,8 @@
         return "draining";
     case TargetState::Gone:
         return "gone";
+    case TargetState::Departed:
+        return "departed";
     case TargetState::Unknown:
         break;
     }
@@ -68,7 +70,8 @@
 void Members::expire()
 {
     for (auto i = m_members.begin(); i != m_members.end();) {
-        bool gone = i->second.record.state == TargetState::Gone;
+        TargetState state = i->second.record.state;
+        bool gone = state == TargetState::Gone || state == TargetState::Departed;
         if (gone && m_clock.now() - i->second.updated > memberRetention)
             m_members.erase(i++);
         else
@@ -113,7 +116,7 @@
     std::vector<Ranked> ranked;
     for (const auto& [key, entry] : m_members) {
         const MemberRecord& record = entry.record;
-        if (!belongs(record.service))
+        if (record.state == TargetState::Departed || !belongs(record.service))
             continue;
         int group = record.service == first ? 0 : 1;
         if (record.state == TargetState::Gone)
--- a/libs/steering/members.h
+++ b/libs/steering/members.h
@@ -21,7 +21,8 @@
     Unknown, // the agent has not heard its target
     Ready,
     Draining,
-    Gone, // deregistered or silent
+    Gone, // silent; it may still hold flows
+    Departed, // deregistered: it has ended, and its flows with it
 };
 
 const char* targetStateName(TargetState);
@@ -33,10 +34,21 @@
     TargetState state = TargetState::Unknown;
     uint64_t incarnation = 0; // of the agent's process, larger after a restart
     uint64_t sequence = 0; // of the record within the incarnation
+    uint64_t targetStart = 0; // the sequence with which the current start of the target was first announced
 
+    // True when both were announced by one process for one start of the target.
+    bool isSameStart(const MemberRecord& other) const
+    {
+        return incarnation == other.incarnation && targetStart == other.targetStart;
+    }
     bool isNewerThan(const MemberRecord& other) const
     {
-        return incarnation != other.incarnation ? incarnation > other.incarnation : sequence > other.sequence;
+        if (incarnation != other.incarnation)
+            return incarnation > other.incarnation;
+        if (sequence != other.sequence)
+            return sequence > other.sequence;
+        // A registered member that has not been heard is shown as unknown; its own announcement supersedes that.
+        return state != TargetState::Unknown && other.state == TargetState::Unknown;
     }
 };
 
@@ -67,7 +79,8 @@
     // Members that may take a new flow of the service, best first.
     std::vector<Endpoint> forNewFlow(
         uint64_t flowHash, ServiceKey, const std::set<std::string>& evacuated, size_t limit) const;
-    // Members that may hold a flow of the route: those of `first`, then those of the route's other services.
+    // Members that may hold a flow of the route: those of `first`, then those of the route's other services. Targets
+    // that have departed hold nothing.
     std::vector<Endpoint> forOldFlow(uint64_t flowHash, const Route&, ServiceKey first, size_t limit) const;
 
 private:
--- a/libs/steering/target_registration.cc
+++ b/libs/steering/target_registration.cc
@@ -2,6 +2,12 @@
 
 namespace cicadaward::steering {
 
+namespace {
+
+    constexpr uint64_t firstSequence = 1;
+
+} // namespace
+
 HeartbeatResult TargetRegistration::onHeartbeat(const Heartbeat& heartbeat)
 {
     bool sameStart = m_target && m_target->id == heartbeat.id && m_target->born == heartbeat.born;
@@ -9,17 +15,17 @@
         return HeartbeatResult::Outdated;
     // A target's clock may have been set back before its start, so an earlier start is believed once the registered
     // target has fallen silent.
-    if (m_target && !sameStart && heartbeat.born < m_target->born && state() != TargetState::Gone)
+    if (m_target && !sameStart && heartbeat.born < m_target->born && !hasEnded())
         return HeartbeatResult::Outdated;
 
     HeartbeatResult result = HeartbeatResult::NewTarget;
     if (sameStart) {
-        bool changed = state() == TargetState::Gone || m_target->draining != heartbeat.draining
-            || m_target->service != heartbeat.service || m_target->slots != heartbeat.slots;
+        bool changed = hasEnded() || m_target->draining != heartbeat.draining || m_target->service != heartbeat.service
+            || m_target->slots != heartbeat.slots;
         result = changed ? HeartbeatResult::Changed : HeartbeatResult::Unchanged;
     } else {
-        // Another target was here before, so this one started while the agent was running.
-        m_sawStart = m_target.has_value();
+        // No process before this one can have given flows to a target that had not sent a heartbeat.
+        m_sawStart = heartbeat.sequence <= firstSequence;
         m_departed = false;
     }
     m_target = heartbeat;
@@ -40,7 +46,9 @@
 {
     if (!m_target)
         return TargetState::Unknown;
-    if (m_departed || m_clock.now() - m_lastHeartbeat > m_silenceLimit)
+    if (m_departed)
+        return TargetState::Departed;
+    if (m_clock.now() - m_lastHeartbeat > m_silenceLimit)
         return TargetState::Gone;
     return m_target->draining ? TargetState::Draining : TargetState::Ready;
 }
--- a/libs/steering/target_registration.h
+++ b/libs/steering/target_registration.h
@@ -51,11 +51,13 @@
     Duration age() const { return m_clock.now() - m_lastHeartbeat; }
     // The newest heartbeat, also of a target that is gone.
     const std::optional<Heartbeat>& target() const { return m_target; }
-    // True when this process has been running since before the target started, so it has seen all of its flows.
+    // True when the first heartbeat of the target's start came to this process, so it has seen all of its flows.
     bool sawStart() const { return m_sawStart; }
     bool isCold() const { return m_clock.now() < m_coldUntil; }
 
 private:
+    bool hasEnded() const { return state() == TargetState::Gone || state() == TargetState::Departed; }
+
     const Clock& m_clock;
     const Duration m_silenceLimit;
     std::optional<Heartbeat> m_target;
--- a/libs/steering/test_fabric.h
+++ b/libs/steering/test_fabric.h
@@ -81,6 +81,8 @@
         toTarget.push_back({ {}, { packet, packet + size } });
     }
 
+    void confirmMembers() override { ++confirmations; }
+
     // The frame that was sent last.
     Frame lastFrame() const
     {
@@ -93,6 +95,7 @@
     std::vector<Sent> frames;
     std::vector<Sent> toCaller;
     std::vector<Sent> toTarget;
+    size_t confirmations = 0; // asked for
 };
 
 inline FlowPacket synPacket(const FlowId& flow, uint8_t copy = 0)
