--- a/daemons/flow_agent_daemon.cc
+++ b/daemons/flow_agent_daemon.cc
@@ -17,12 +17,12 @@
         options.incarnation = static_cast<uint64_t>(base.clock.wallTime().count());
         // Less than the time of reuse, but at least a heartbeat and a quarter: heartbeats come a little late at times.
         Duration heartbeat = settings.duration("target.heartbeat-ms");
-        options.heartbeatFreshness
+        options.admission.heartbeatFreshness
             = std::max<Duration>(seconds(settings.decimal("target.reuse-s")) - reuseMargin, heartbeat + heartbeat / 4);
         options.maxFlows = static_cast<size_t>(settings.number("limits.max-flows"));
         options.heartbeatSilence = missedHeartbeats * settings.duration("target.heartbeat-ms");
-        options.warmUpFactor = settings.decimal("warm-up.factor");
-        options.warmUpSlack = settings.decimal("warm-up.slack");
+        options.admission.warmUpFactor = settings.decimal("warm-up.factor");
+        options.admission.warmUpSlack = settings.decimal("warm-up.slack");
         return options;
     }
 
--- a/libs/cluster/cluster_test.cc
+++ b/libs/cluster/cluster_test.cc
@@ -253,7 +253,8 @@
 }
 
 // Guards against an instance that is never polled: each one names itself first, and with turns by position in the list
-// of the last reply some sequences of replies left one out for good. When that was the leader, no target was registered.
+// of the last reply some sequences of replies left one out for good. When that was the leader, no target was
+// registered.
 TEST_CASE("poller: every control instance gets its turn whatever order the replies have", "[poller]")
 {
     struct Output final : PollerOutput {
--- /dev/null
+++ b/libs/steering/agent_fixture.h
@@ -0,0 +1,94 @@
+// An agent with a target that a test drives by hand.
+#pragma once
+
+#include "steering/test_fabric.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstring>
+#include <string>
+#include <vector>
+
+namespace cicadaward::steering {
+
+struct AgentFixture {
+    ManualClock clock;
+    FakeFormat format;
+    CountingObserver observer;
+    RecordingOutput output;
+    AgentSteering agent { options(), format, clock, observer, output };
+    uint64_t beats = 4; // the target started before the agent; a new start counts anew
+    uint64_t lastBorn = 0;
+    bool registers = true; // starts enter the members' register at once
+
+    static AgentOptions options()
+    {
+        AgentOptions result;
+        result.self = memberNumber(1).agent;
+        result.dataCentre = "east";
+        result.incarnation = 1;
+        result.admission.warmUpFactor = 1.5;
+        result.admission.warmUpSlack = 5;
+        return result;
+    }
+    void ready()
+    {
+        agent.setState(hubTable(), {});
+        beat();
+    }
+    HeartbeatResult beat(const std::string& id = "t-1", uint64_t born = 100, bool draining = false,
+        std::chrono::milliseconds cold = std::chrono::milliseconds(0))
+    {
+        Heartbeat heartbeat;
+        heartbeat.id = id;
+        heartbeat.service = hub;
+        heartbeat.dataCentre = "east";
+        heartbeat.draining = draining;
+        heartbeat.warmUpLeft = cold;
+        heartbeat.born = born;
+        if (lastBorn != 0 && born > lastBorn)
+            beats = 0;
+        lastBorn = std::max(lastBorn, born);
+        heartbeat.sequence = ++beats;
+        heartbeat.slots = 2;
+        HeartbeatResult result = agent.onHeartbeat(heartbeat);
+        const MemberRecord& record = agent.record();
+        if (registers)
+            agent.onRegistered(record.incarnation, record.targetStart);
+        return result;
+    }
+    void frame(FrameKind kind, const FlowPacket& head, std::vector<Endpoint> members, bool compare = false)
+    {
+        Frame frame;
+        frame.kind = kind;
+        frame.compare = compare;
+        frame.next = 1;
+        frame.service = kind == FrameKind::Offer ? hub : ServiceKey();
+        frame.entry = entryEndpoint;
+        frame.members.assign(members.begin(), members.end());
+        send(frame, head);
+    }
+    void send(const Frame& frame, const FlowPacket& head)
+    {
+        std::vector<uint8_t> bytes = frameBytes(frame, head);
+        agent.onFrame(entryEndpoint, bytes.data(), bytes.size());
+    }
+    void offer(const FlowId& flow) { frame(FrameKind::Offer, synPacket(flow), { options().self }); }
+    void targetSends(FlowPacket head)
+    {
+        std::vector<uint8_t> bytes = FakeFormat::encode(head);
+        agent.onTargetPacket(bytes.data(), bytes.size());
+    }
+    // The target returns the packet that it got last.
+    void bounce()
+    {
+        REQUIRE(!output.toTarget.empty());
+        FlowPacket packet;
+        std::memcpy(&packet, output.toTarget.back().bytes.data(), sizeof(packet));
+        packet.bounced = true;
+        targetSends(packet);
+    }
+    Frame lastFrame() const { return output.lastFrame(); }
+};
+
+} // namespace cicadaward::steering
--- /dev/null
+++ b/libs/steering/agent_requests_test.cc
@@ -0,0 +1,229 @@
+// Requests at an agent: which ones wait, and that no slot is lost to a request which gets no answer.
+#include "steering/agent_fixture.h"
+
+using namespace cicadaward;
+using namespace cicadaward::steering;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr uint16_t requestBytes = 100;
+
+// The target has two slots.
+struct RequestFixture : AgentFixture {
+    RequestFixture()
+    {
+        Route route = routeOf(serviceAddress, { { hub, 1 } });
+        route.objective = 150ms;
+        route.timeout = 2000ms;
+        agent.setState(RouteTable(configurationOf(1, { route }, { "hub" })), {});
+        beat();
+    }
+    void open(const FlowId& flow)
+    {
+        offer(flow);
+        FlowPacket answer;
+        answer.flow = flow;
+        answer.syn = answer.ack = true;
+        answer.acknowledged = 1;
+        targetSends(answer);
+        output.toTarget.clear();
+    }
+    // `number` of the request on its flow, from 0.
+    void request(const FlowId& flow, uint32_t number = 0)
+    {
+        FlowPacket data = dataPacket(flow, requestBytes);
+        data.sequence = 1 + number * requestBytes;
+        deliver(data);
+    }
+    void deliver(const FlowPacket& packet) { frame(FrameKind::Deliver, packet, { options().self }); }
+    void answer(const FlowId& flow) { targetSends(dataPacket(flow, 30)); }
+    // Opens flows 1 and 2 with a request each.
+    void fillSlots()
+    {
+        for (uint16_t i = 1; i <= 2; ++i) {
+            open(flowNumber(i));
+            request(flowNumber(i));
+        }
+        output.toTarget.clear();
+    }
+    FlowPacket given(size_t i) const
+    {
+        FlowPacket packet;
+        std::memcpy(&packet, output.toTarget.at(i).bytes.data(), sizeof(packet));
+        return packet;
+    }
+};
+
+} // namespace
+
+TEST_CASE("requests: those beyond the slots wait, repeated packets of one wait with it", "[requests]")
+{
+    RequestFixture fixture;
+    fixture.fillSlots();
+    fixture.open(flowNumber(3));
+    fixture.request(flowNumber(3));
+    fixture.request(flowNumber(3)); // the caller repeats it
+    CHECK(fixture.output.toTarget.empty());
+    CHECK(fixture.agent.waitingRequests() == 1);
+    CHECK(fixture.agent.load() >= 150); // three requests for two slots
+    fixture.deliver(dataPacket(flowNumber(3), 0)); // an acknowledgement alone goes on
+    CHECK(fixture.output.toTarget.size() == 1);
+    fixture.output.toTarget.clear();
+    fixture.answer(flowNumber(1));
+    REQUIRE(fixture.output.toTarget.size() == 1);
+    CHECK(fixture.given(0).flow == flowNumber(3));
+    CHECK(fixture.agent.waitingRequests() == 0);
+}
+
+TEST_CASE("requests: a request that waits for most of its time goes to the target, which may refuse it", "[requests]")
+{
+    RequestFixture fixture;
+    fixture.fillSlots();
+    fixture.open(flowNumber(3));
+    fixture.request(flowNumber(3));
+    fixture.clock.advance(1400ms);
+    fixture.agent.onTick();
+    CHECK(fixture.output.toTarget.empty());
+    fixture.clock.advance(200ms);
+    fixture.agent.onTick();
+    CHECK(fixture.output.toTarget.size() == 1);
+}
+
+// Soaks and bench days lost slots to callers that had given up: with all of them lost every request waited in vain.
+TEST_CASE("requests: a slot is free again after each way in which a request ends", "[requests]")
+{
+    RequestFixture fixture;
+    fixture.fillSlots();
+    FlowPacket end = dataPacket(flowNumber(1), 0);
+    SECTION("the answer begins") { fixture.answer(flowNumber(1)); }
+    SECTION("the caller closes")
+    {
+        end.fin = true;
+        fixture.deliver(end);
+    }
+    SECTION("the caller resets")
+    {
+        end.reset = true;
+        fixture.deliver(end);
+    }
+    SECTION("the target closes")
+    {
+        end.fin = true;
+        fixture.targetSends(end);
+    }
+    SECTION("the target resets")
+    {
+        end.reset = true;
+        fixture.targetSends(end);
+    }
+    SECTION("the target does not hold the flow")
+    {
+        fixture.request(flowNumber(1));
+        fixture.bounce();
+    }
+    SECTION("the target starts again")
+    {
+        fixture.beat("t-1", 200);
+        REQUIRE(fixture.agent.awaitsRegistration() == false);
+    }
+    SECTION("the timeout passes")
+    {
+        fixture.open(flowNumber(4));
+        fixture.request(flowNumber(4)); // waits
+        fixture.clock.advance(1900ms);
+        fixture.beat();
+        fixture.clock.advance(101ms);
+        fixture.agent.onTick();
+    }
+    fixture.open(flowNumber(3));
+    fixture.request(flowNumber(3));
+    REQUIRE_FALSE(fixture.output.toTarget.empty());
+    CHECK(fixture.given(fixture.output.toTarget.size() - 1).flow == flowNumber(3));
+}
+
+TEST_CASE("requests: repeated data takes no slot", "[requests]")
+{
+    RequestFixture fixture;
+    fixture.open(flowNumber(1));
+    SECTION("after the answer")
+    {
+        fixture.request(flowNumber(1));
+        fixture.answer(flowNumber(1));
+        fixture.request(flowNumber(1));
+    }
+    SECTION("of a flow from before the agent's start")
+    {
+        fixture.request(flowNumber(9)); // not known here, so the target shows whether it holds it
+        fixture.answer(flowNumber(9));
+        fixture.request(flowNumber(9));
+    }
+    SECTION("that the target has acknowledged before this process saw it")
+    {
+        FlowPacket answer = dataPacket(flowNumber(9), 30);
+        answer.acknowledged = 1 + requestBytes;
+        fixture.targetSends(answer);
+        fixture.request(flowNumber(9));
+    }
+    fixture.open(flowNumber(2));
+    fixture.open(flowNumber(3));
+    fixture.request(flowNumber(2));
+    fixture.request(flowNumber(3));
+    CHECK(fixture.agent.waitingRequests() == 0);
+}
+
+TEST_CASE(
+    "requests: what waits on a flow that an end closes reaches the target before the end of the flow", "[requests]")
+{
+    RequestFixture fixture;
+    fixture.fillSlots();
+    fixture.open(flowNumber(3));
+    fixture.request(flowNumber(3));
+    FlowPacket end = dataPacket(flowNumber(3), 0);
+    SECTION("the caller gives up")
+    {
+        end.fin = true;
+        fixture.deliver(end);
+        REQUIRE(fixture.output.toTarget.size() == 2);
+        CHECK(fixture.given(0).length == requestBytes);
+        CHECK(fixture.given(1).fin);
+    }
+    SECTION("the caller resets: nothing of it is left to do")
+    {
+        end.reset = true;
+        fixture.deliver(end);
+        REQUIRE(fixture.output.toTarget.size() == 1);
+        CHECK(fixture.given(0).reset);
+    }
+    SECTION("the target closes: it refuses the request, which tells the caller")
+    {
+        end.fin = true;
+        fixture.targetSends(end);
+        REQUIRE(fixture.output.toTarget.size() == 1);
+        CHECK(fixture.given(0).length == requestBytes);
+    }
+    CHECK(fixture.agent.waitingRequests() == 0);
+}
+
+TEST_CASE("requests: a new flow is refused when its request would wait too long", "[requests]")
+{
+    RequestFixture fixture;
+    fixture.fillSlots();
+    uint16_t number = 2;
+    while (number < 200) {
+        size_t before = fixture.output.frames.size();
+        fixture.offer(flowNumber(++number));
+        if (fixture.output.frames.size() > before)
+            break;
+        FlowPacket answer;
+        answer.flow = flowNumber(number);
+        answer.syn = answer.ack = true;
+        fixture.targetSends(answer);
+        fixture.request(flowNumber(number));
+    }
+    // Two slots and 50 ms of work: a request behind 40 others would wait for a second, half of the timeout.
+    CHECK(number >= 42);
+    CHECK(number <= 46);
+    CHECK(fixture.lastFrame().kind == FrameKind::Returned);
+    CHECK_FALSE(fixture.lastFrame().mayRecover);
+}
--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -8,15 +8,12 @@
 
 namespace {
 
-    // Answers in a row that must be missing before the target counts as silent.
-    constexpr unsigned silentOffers = 2;
-    // A second of sent-and-arrived work may overlap two of ours by the way of a SYN, so the window is a little longer.
-    constexpr Duration warmUpWindow = std::chrono::milliseconds(1100);
     constexpr Duration expiryInterval = std::chrono::seconds(1);
     constexpr Duration defaultIdleLimit = std::chrono::seconds(15);
+    // For routes that state none.
+    constexpr auto defaultTimeout = std::chrono::seconds(5);
     constexpr double hundredths = 100;
     constexpr double openFlowWork = 0.1;
-    constexpr size_t maxUnanswered = 1024;
 
 } // namespace
 
@@ -28,7 +25,9 @@
     , m_observer(observer)
     , m_output(output)
     , m_registration(clock, m_options.heartbeatSilence)
-    , m_work(clock)
+    , m_admission(m_options.admission, clock)
+    , m_requests(m_options.queue, clock)
+    , m_flows(m_options.maxFlows)
     , m_marked(m_options.bounceWindow)
     , m_lastExpiry(clock.now())
 {
@@ -49,60 +48,40 @@
         return;
     // The target may have turned cold while it was out; its next heartbeat says so only later.
     if (const ServicePolicy* policy = m_routes.policy(m_registration.target()->service))
-        m_evacuationColdUntil = m_clock.now() + policy->warmUp;
+        m_admission.cameBack(policy->warmUp);
 }
 
 HeartbeatResult AgentSteering::onHeartbeat(const Heartbeat& heartbeat)
 {
     bool knewTarget = m_registration.target().has_value();
     HeartbeatResult result = m_registration.onHeartbeat(heartbeat);
-    if (result == HeartbeatResult::NewTarget) {
-        m_newStart = true;
-        m_registeredStart = 0;
-        m_overflowed = false;
-        if (m_registration.sawStart())
-            loseFlows();
-        else if (knewTarget)
-            dropFlows();
+    if (result == HeartbeatResult::NewTarget)
+        onNewTarget(knewTarget);
+    if (result != HeartbeatResult::Outdated) {
+        m_admission.targetSpoke();
+        m_requests.setSlots(heartbeat.slots);
     }
-    if (result != HeartbeatResult::Outdated)
-        m_unansweredInRow = 0;
     return result;
 }
 
-bool AgentSteering::onDeparture(const std::string& id) { return m_registration.onDeparture(id); }
-
-// Only flows that were open at the ended target may be reset later. One that was merely offered, or whose SYN was
-// answered by several targets, may be open at another.
-void AgentSteering::loseFlows()
+void AgentSteering::onNewTarget(bool knewTarget)
 {
-    for (auto i = m_flows.begin(); i != m_flows.end();) {
-        Flow& flow = i->second;
-        if (flow.established) {
-            flow.lost = true;
-            flow.working = false;
-            ++i;
-            continue;
-        }
-        if (flow.callerClosed || flow.targetClosed)
-            --m_closing;
-        m_flows.erase(i++);
-    }
-    m_unanswered.clear();
+    m_newStart = true;
+    m_registeredStart = 0;
+    m_overflowed = false;
+    // When its first heartbeat did not come to this process, some flows may belong to the new start: it shows which.
+    if (m_registration.sawStart())
+        m_flows.loseAll();
+    else if (knewTarget)
+        m_flows.clear();
+    else
+        return;
+    m_admission.reset();
     m_unconfirmed.clear();
-    m_work.reset();
+    m_requests.reset();
 }
 
-// Some of the flows may belong to the new start, whose first heartbeat did not come to this process: the target shows
-// which ones it holds.
-void AgentSteering::dropFlows()
-{
-    m_flows.clear();
-    m_closing = 0;
-    m_unanswered.clear();
-    m_unconfirmed.clear();
-    m_work.reset();
-}
+bool AgentSteering::onDeparture(const std::string& id) { return m_registration.onDeparture(id); }
 
 const MemberRecord& AgentSteering::record()
 {
@@ -136,8 +115,7 @@
 uint16_t AgentSteering::load() const
 {
     double slots = m_registration.target() ? std::max(1U, m_registration.target()->slots) : 1;
-    double work = m_work.inHand() + double(m_unanswered.size()) + m_work.mean()
-        + openFlowWork * double(m_flows.size() - m_closing);
+    double work = m_requests.load() + double(m_admission.unanswered()) + openFlowWork * double(m_flows.open());
     return static_cast<uint16_t>(std::min(65535.0, hundredths * work / slots));
 }
 
@@ -163,61 +141,34 @@
 }
 
 // Why the target must not get a new flow now; null when it may.
-const char* AgentSteering::refusalReason()
+const char* AgentSteering::refusalReason(const FlowId& flow)
 {
     if (!m_hasState)
         return "no state from control yet";
-    if (m_registration.state() == TargetState::Unknown)
-        return "no heartbeat yet";
-    if (m_registration.state() == TargetState::Draining)
-        return "target is draining";
-    if (m_registration.state() == TargetState::Gone)
-        return "target is gone";
-    if (m_registration.state() == TargetState::Departed)
-        return "target has departed";
+    const ServicePolicy* policy = m_registration.target() ? m_routes.policy(m_registration.target()->service) : nullptr;
+    if (const char* reason = m_admission.refusal(m_registration, policy))
+        return reason;
     if (!isRegistered())
         return "target is not registered yet";
     if (m_evacuated.count(m_options.dataCentre) != 0)
         return "data centre is out";
-    const ServicePolicy* policy = m_routes.policy(m_registration.target()->service);
-    size_t maxFlows = policy && policy->maxFlows != 0 ? policy->maxFlows : m_options.maxFlows;
-    if (m_flows.size() >= std::min(maxFlows, m_options.maxFlows))
+    if (m_flows.isFull() || (policy && policy->maxFlows != 0 && m_flows.size() >= policy->maxFlows))
         return "flow limit";
-    if (m_unansweredInRow >= silentOffers)
-        return "target does not answer"; // until its next packet or heartbeat
-    if (m_registration.age() > m_options.heartbeatFreshness)
-        return "heartbeat is overdue";
-    if (isWarmUpSpent())
-        return "warm-up budget is spent";
+    if (m_requests.isOverloaded(termsOf(flow).timeout))
+        return "requests would wait too long";
     return nullptr;
 }
 
-bool AgentSteering::isWarmUpSpent()
-{
-    Time now = m_clock.now();
-    while (!m_coldOffers.empty() && now - m_coldOffers.front() > warmUpWindow)
-        m_coldOffers.pop_front();
-    if (!m_registration.isCold() && now >= m_evacuationColdUntil)
-        return false;
-    const ServicePolicy* policy = m_routes.policy(m_registration.target()->service);
-    double rate = policy ? policy->warmUpRate : 0;
-    if (rate == 0)
-        return false; // no budget is stated: the load alone decides
-    // One below the budget: the flow that would reach it may already be under way from the last window.
-    double budget = rate * m_options.warmUpFactor + m_options.warmUpSlack - 1;
-    return double(m_coldOffers.size()) + 1 > std::max(1.0, budget);
-}
-
 void AgentSteering::onOffer(Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
 {
-    auto found = m_flows.find(packet.flow);
-    if (found != m_flows.end() && !found->second.lost) {
-        found->second.entry = frame.entry;
+    TargetFlow* known = m_flows.find(packet.flow);
+    if (known && !known->lost) {
+        known->entry = frame.entry;
         giveToTarget(frame, data, size); // another copy of a SYN that the target has
         return;
     }
     ServiceKey own = m_registration.target() ? m_registration.target()->service : ServiceKey();
-    const char* reason = frame.service != own ? "another service" : refusalReason();
+    const char* reason = frame.service != own ? "another service" : refusalReason(packet.flow);
     if (reason) {
         bool mayRecover = !m_hasState || m_registration.state() == TargetState::Unknown || awaitsRegistration();
         frame.mayRecover = frame.mayRecover || mayRecover;
@@ -246,14 +197,12 @@
 {
     Time now = m_clock.now();
     uint16_t ownLoad = load();
-    Flow flow;
-    flow.opened = now;
-    flow.lastPacket = now;
-    flow.entry = frame.entry;
-    m_flows[packet.flow] = flow;
-    if (m_unanswered.size() < maxUnanswered)
-        m_unanswered.emplace_back(now, packet.flow);
-    m_coldOffers.push_back(now);
+    TargetFlow* flow = m_flows.replace(packet.flow, now);
+    if (!flow)
+        return;
+    flow->born = now - packet.age;
+    flow->entry = frame.entry;
+    m_admission.offered(packet.flow);
     frame.compare = false;
     giveToTarget(frame, data, size);
     m_observer.decided(Decision::Accepted, packet.flow, { frame.entry, "", m_routes.version(), ownLoad });
@@ -291,48 +240,87 @@
     return current || std::find(route->former.begin(), route->former.end(), own) != route->former.end();
 }
 
+RequestTerms AgentSteering::termsOf(const FlowId& flow) const
+{
+    const Route* route = m_routes.find(flow.service);
+    if (!route)
+        return { Duration::zero(), defaultTimeout, 0 };
+    return { route->objective, route->timeout.count() > 0 ? route->timeout : defaultTimeout, route->priority };
+}
+
 void AgentSteering::onDelivery(Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
 {
-    auto found = m_flows.find(packet.flow);
-    if (found != m_flows.end() && found->second.lost) {
+    TargetFlow* flow = m_flows.find(packet.flow);
+    if (!flow) {
+        onUnknownFlow(frame, packet, data, size);
+    } else if (flow->lost) {
         std::vector<uint8_t> reset = m_format.reset(packet.flow, packet.acknowledged);
         m_output.sendToCaller(packet.flow, reset.data(), reset.size());
         m_observer.decided(Decision::Reset, packet.flow, { {}, "its target has ended", m_routes.version() });
-        return;
+    } else {
+        onKnownFlow(*flow, frame, packet, data, size);
     }
-    if (found == m_flows.end()) {
-        bool isKnown = (m_registration.sawStart() && !m_overflowed) || m_registration.state() == TargetState::Departed;
-        if (isKnown || !mayBelong(packet.flow)) {
-            frame.uncertain = frame.uncertain || !isKnown; // the routes known here may be older than the flow
-            passOn(frame, packet, "not held", data, size);
-            return;
-        }
-        m_overflowed = m_overflowed || m_flows.size() >= m_options.maxFlows;
-        if (m_flows.size() < m_options.maxFlows) {
-            Flow flow;
-            flow.opened = m_clock.now();
-            found = m_flows.emplace(packet.flow, flow).first;
-            m_unconfirmed.emplace_back(flow.opened, packet.flow);
-        }
+}
+
+void AgentSteering::onUnknownFlow(Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
+{
+    bool isKnown = (m_registration.sawStart() && !m_overflowed) || m_registration.state() == TargetState::Departed;
+    if (isKnown || !mayBelong(packet.flow)) {
+        frame.uncertain = frame.uncertain || !isKnown; // the routes known here may be older than the flow
+        passOn(frame, packet, "not held", data, size);
+        return;
     }
-    if (found != m_flows.end()) {
-        Flow& flow = found->second;
-        flow.lastPacket = m_clock.now();
-        bool asked = frame.kind == FrameKind::Probe || frame.members.size() > 1;
-        if (flow.answered && asked) {
-            flow.entry = frame.entry;
-            locate(packet.flow, flow);
-        } else if (!flow.answered) {
-            flow.entry = frame.entry;
-        }
-        if (packet.fin || packet.reset)
-            close(flow, flow.callerClosed);
+    TargetFlow* flow = m_flows.add(packet.flow, m_clock.now());
+    m_overflowed = m_overflowed || !flow;
+    if (flow) {
+        flow->entry = frame.entry;
         if (packet.length > 0)
-            onRequestBytes(flow);
+            flow->noteData(packet);
+        m_unconfirmed.emplace_back(flow->opened, packet.flow);
     }
     giveToTarget(frame, data, size);
 }
 
+void AgentSteering::onKnownFlow(TargetFlow& flow, Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
+{
+    flow.lastPacket = m_clock.now();
+    bool asked = frame.kind == FrameKind::Probe || frame.members.size() > 1;
+    if (asked || !flow.answered)
+        flow.entry = frame.entry;
+    if (flow.answered && asked)
+        locate(packet.flow, flow);
+    if (packet.fin || packet.reset)
+        onCallerClosed(flow, packet);
+    bool waits = packet.length > 0 && m_requests.hold(flow, termsOf(packet.flow), frame, packet, data, size);
+    if (!waits) {
+        giveToTarget(frame, data, size);
+        return;
+    }
+    m_observer.decided(Decision::Waiting, packet.flow,
+        { {}, "all slots are taken", m_routes.version(), static_cast<uint32_t>(m_requests.waiting()) });
+}
+
+// A caller that closes before the answer has given up: the target ends its request without working on it.
+void AgentSteering::onCallerClosed(TargetFlow& flow, const FlowPacket& packet)
+{
+    m_flows.close(flow, &TargetFlow::callerClosed);
+    std::optional<HeldRequest> held = m_requests.cancel(packet.flow, flow);
+    if (held && !packet.reset)
+        giveToTarget(*held); // it takes the end of the flow only after what came before
+}
+
+void AgentSteering::releaseRequests()
+{
+    while (std::optional<HeldRequest> held = m_requests.takeNext(m_flows))
+        giveToTarget(*held);
+}
+
+void AgentSteering::giveToTarget(HeldRequest& held)
+{
+    for (HeldPacket& packet : held.packets)
+        giveToTarget(packet.frame, packet.bytes.data(), packet.bytes.size());
+}
+
 void AgentSteering::giveToTarget(const Frame& frame, uint8_t* data, size_t size)
 {
     uint32_t mark = ++m_lastMark;
@@ -350,44 +338,46 @@
         m_observer.decided(Decision::Malformed, {}, { {}, "from the target" });
         return;
     }
-    m_unansweredInRow = 0;
+    m_admission.targetSpoke();
     if (packet->bounced) {
         onBounced(*packet, data, size);
         return;
     }
     m_output.sendToCaller(packet->flow, data, size);
-    auto found = m_flows.find(packet->flow);
-    if (found == m_flows.end()) {
-        if (packet->reset)
-            return;
-        m_overflowed = m_overflowed || m_flows.size() >= m_options.maxFlows;
-        if (m_flows.size() >= m_options.maxFlows)
-            return;
-        found = m_flows.emplace(packet->flow, Flow()).first;
-        found->second.opened = m_clock.now();
+    TargetFlow* flow = m_flows.find(packet->flow);
+    if (!flow && !packet->reset)
+        flow = m_flows.add(packet->flow, m_clock.now());
+    if (!flow) {
+        m_overflowed = m_overflowed || !packet->reset;
+        return;
     }
-    Flow& flow = found->second;
-    flow.lastPacket = m_clock.now();
-    flow.lost = false;
-    flow.established = flow.established || !packet->syn;
-    if (!flow.answered) {
-        flow.answered = true;
-        m_unanswered.erase(std::remove_if(m_unanswered.begin(), m_unanswered.end(),
-                               [&](const auto& offer) { return offer.second == packet->flow; }),
-            m_unanswered.end());
+    flow->lastPacket = m_clock.now();
+    flow->lost = false;
+    flow->heard = true;
+    flow->noteAcknowledgement(*packet);
+    flow->established = flow->established || !packet->syn;
+    if (!flow->answered) {
+        flow->answered = true;
+        m_admission.answered(packet->flow);
     }
-    locate(packet->flow, flow);
+    locate(packet->flow, *flow);
     if (packet->length > 0)
-        onAnswerBytes(flow);
-    if (packet->fin)
-        close(flow, flow.targetClosed);
+        m_requests.finish(*flow);
+    if (packet->fin) {
+        m_flows.close(*flow, &TargetFlow::targetClosed);
+        // No answer follows. The target refuses what comes now, which tells the caller at once.
+        if (std::optional<HeldRequest> held = m_requests.cancel(packet->flow, *flow))
+            giveToTarget(*held);
+    }
     if (packet->reset)
         forget(packet->flow);
+    releaseRequests();
 }
 
 void AgentSteering::onBounced(const FlowPacket& packet, uint8_t* data, size_t size)
 {
     forget(packet.flow);
+    releaseRequests();
     const Marked& marked = m_marked[packet.mark % m_marked.size()];
     if (packet.mark == 0 || marked.mark != packet.mark) {
         m_observer.decided(Decision::NotHeld, packet.flow, { {}, "bounced with an unknown mark" });
@@ -398,45 +388,23 @@
     passOn(frame, packet, "bounced", data, size);
 }
 
-void AgentSteering::onRequestBytes(Flow& flow)
-{
-    if (flow.working)
-        return;
-    flow.working = true;
-    m_work.started();
-}
-
-void AgentSteering::onAnswerBytes(Flow& flow)
-{
-    if (!flow.working)
-        return;
-    flow.working = false;
-    m_work.finished();
-}
-
-void AgentSteering::close(Flow& flow, bool& end)
-{
-    if (!flow.callerClosed && !flow.targetClosed)
-        ++m_closing;
-    end = true;
-}
-
 // A target bounces a packet of a flow that it does not hold at once, but may have no reason to answer one that it
 // holds.
 void AgentSteering::confirmHeld()
 {
     Time now = m_clock.now();
     while (!m_unconfirmed.empty() && now - m_unconfirmed.front().first > m_options.bounceTimeout) {
-        auto found = m_flows.find(m_unconfirmed.front().second);
-        if (found != m_flows.end() && !found->second.answered) {
-            found->second.answered = true;
-            locate(found->first, found->second);
-        }
+        FlowId id = m_unconfirmed.front().second;
         m_unconfirmed.pop_front();
+        TargetFlow* flow = m_flows.find(id);
+        if (!flow || flow->answered)
+            continue;
+        flow->answered = true;
+        locate(id, *flow);
     }
 }
 
-void AgentSteering::locate(const FlowId& id, Flow& flow)
+void AgentSteering::locate(const FlowId& id, TargetFlow& flow)
 {
     if (flow.entry.port == 0)
         return;
@@ -450,28 +418,24 @@
 
 void AgentSteering::forget(const FlowId& id)
 {
-    auto found = m_flows.find(id);
-    if (found == m_flows.end())
+    TargetFlow* flow = m_flows.find(id);
+    if (!flow)
         return;
-    onAnswerBytes(found->second);
-    if (found->second.callerClosed || found->second.targetClosed)
-        --m_closing;
-    m_unanswered.erase(
-        std::remove_if(m_unanswered.begin(), m_unanswered.end(), [&](const auto& offer) { return offer.second == id; }),
-        m_unanswered.end());
-    m_flows.erase(found);
+    m_requests.cancel(id, *flow);
+    m_admission.answered(id);
+    m_flows.erase(id);
 }
 
 void AgentSteering::onTick()
 {
-    Time now = m_clock.now();
-    while (!m_unanswered.empty() && now - m_unanswered.front().first > m_options.offerTimeout) {
-        ++m_unansweredInRow;
-        m_unanswered.pop_front();
-    }
+    m_admission.onTick();
     confirmHeld();
-    if (now - m_lastExpiry >= expiryInterval)
+    if (m_clock.now() - m_lastExpiry >= expiryInterval)
         expire();
+    if (m_requests.waiting() > 0) {
+        m_requests.abandon(m_flows, [this](const FlowId& id) { return termsOf(id).timeout; });
+        releaseRequests();
+    }
 }
 
 void AgentSteering::expire()
@@ -480,21 +444,8 @@
     Duration idle = m_routes.configuration().flowIdleLimit;
     if (idle == Duration::zero())
         idle = defaultIdleLimit;
-    for (auto i = m_flows.begin(); i != m_flows.end();) {
-        const Flow& flow = i->second;
-        Duration silent = m_lastExpiry - flow.lastPacket;
-        bool closed = flow.callerClosed && flow.targetClosed;
-        bool expired = (closed && silent > m_options.closedRetention) || silent > idle
-            || (!flow.answered && silent > m_options.closedRetention);
-        if (!expired) {
-            ++i;
-            continue;
-        }
-        onAnswerBytes(i->second);
-        if (flow.callerClosed || flow.targetClosed)
-            --m_closing;
-        m_flows.erase(i++);
-    }
+    m_flows.expire(m_lastExpiry, idle, m_options.closedRetention,
+        [this](const FlowId& id, TargetFlow& flow) { m_requests.cancel(id, flow); });
 }
 
 } // namespace cicadaward::steering
--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -8,17 +8,19 @@
 //     steering.onTargetPacket(data, size); // sent or bounced by the target
 //
 // Draining, evacuation and the warm-up budget are enforced here, in sum over all entries, because every new flow of the
-// target passes. The flow table is what this process has seen; the target itself has the last word on what it holds.
-// Memory: at most `maxFlows` flows of about 120 bytes and `bounceWindow` frame heads of about 100 bytes.
+// target passes. So does every request: those beyond the target's slots wait here in an order of their own. The flow
+// table is what this process has seen; the target itself has the last word on what it holds.
+// Memory: at most `maxFlows` flows of about 150 bytes, `bounceWindow` frame heads of about 100 bytes, and the queue.
 #pragma once
 
 #include "core/clock.h"
 #include "steering/decisions.h"
+#include "steering/flow_admission.h"
 #include "steering/frame.h"
+#include "steering/request_gate.h"
+#include "steering/target_flows.h"
 #include "steering/target_registration.h"
-#include "steering/work_meter.h"
 
-#include <absl/container/flat_hash_map.h>
 #include <deque>
 #include <set>
 #include <string>
@@ -33,15 +35,11 @@
     size_t maxFlows = 16384;
     size_t bounceWindow = 1024; // packets given to the target whose frames are kept for a bounce
     Duration heartbeatSilence = std::chrono::milliseconds(4800); // four heartbeats
-    // A target whose last heartbeat is older gets no new flow: it may have ended, and its address may have gone to a
-    // target of another service that has not sent a heartbeat yet.
-    Duration heartbeatFreshness = std::chrono::milliseconds(1900);
-    Duration offerTimeout = std::chrono::milliseconds(250); // a target that has not answered a SYN by then is slow
     Duration bounceTimeout
         = std::chrono::milliseconds(25); // a target that has not bounced a packet by then holds the flow
-    double warmUpFactor = 1; // a cold target gets rate x factor + slack new flows a second
-    double warmUpSlack = 0;
     Duration closedRetention = std::chrono::seconds(4);
+    FlowAdmissionOptions admission;
+    RequestQueueOptions queue;
 };
 
 class AgentOutput {
@@ -76,44 +74,35 @@
     // this process its incarnation may have been set back before the start.
     void outlive(uint64_t incarnation);
     const TargetRegistration& registration() const { return m_registration; }
-    // Expected work of the target for each of its slots, in hundredths: requests in hand, their mean over the last
-    // second, and a tenth for each open flow, since an open flow will bring more.
+    // Expected work of the target for each of its slots, in hundredths: requests in hand and waiting, their mean over
+    // the last second, and a tenth for each open flow, since an open flow will bring more.
     uint16_t load() const;
     size_t flows() const { return m_flows.size(); }
+    size_t waitingRequests() const { return m_requests.waiting(); }
 
 private:
-    struct Flow {
-        Time opened;
-        Time lastPacket;
-        Endpoint entry; // port 0, or the entry that waits for Located
-        bool answered = false; // the target has sent a packet of the flow
-        bool established = false; // the target has sent more than the answer to the SYN: the caller chose this target
-        bool working = false; // a request is at the target and its answer has not begun
-        bool callerClosed = false;
-        bool targetClosed = false;
-        bool lost = false; // its target has started again or left for good
-    };
     struct Marked {
         uint32_t mark = 0;
         Frame frame;
     };
 
-    const char* refusalReason();
+    const char* refusalReason(const FlowId&);
     void onOffer(Frame&, const FlowPacket&, uint8_t* data, size_t size);
-    void onDelivery(Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void accept(Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    void onDelivery(Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    void onUnknownFlow(Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    void onKnownFlow(TargetFlow&, Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    void releaseRequests();
     void passOn(Frame&, const FlowPacket&, const char* reason, const uint8_t* data, size_t size);
-    void dropFlows();
     void giveToTarget(const Frame&, uint8_t* data, size_t size);
+    void giveToTarget(HeldRequest&);
+    void onCallerClosed(TargetFlow&, const FlowPacket&);
     void onBounced(const FlowPacket&, uint8_t* data, size_t size);
-    void onRequestBytes(Flow&);
-    void onAnswerBytes(Flow&);
     bool mayBelong(const FlowId&) const;
-    bool isWarmUpSpent();
-    void locate(const FlowId&, Flow&);
+    RequestTerms termsOf(const FlowId&) const;
+    void locate(const FlowId&, TargetFlow&);
     void forget(const FlowId&);
-    void loseFlows();
-    void close(Flow&, bool& end);
+    void onNewTarget(bool knewTarget);
     void confirmHeld();
     void expire();
 
@@ -125,19 +114,15 @@
     RouteTable m_routes;
     bool m_hasState = false;
     std::set<std::string> m_evacuated;
-    Time m_evacuationColdUntil;
     TargetRegistration m_registration;
+    FlowAdmission m_admission;
     MemberRecord m_record;
     uint64_t m_registeredStart = 0;
     bool m_newStart = false; // the record does not show the current start of the target yet
     bool m_overflowed = false; // flows of the target's current start may be missing in m_flows
-    WorkMeter m_work;
-    absl::flat_hash_map<FlowId, Flow> m_flows;
-    size_t m_closing = 0; // flows of which an end has closed
-    std::deque<std::pair<Time, FlowId>> m_unanswered; // SYNs at the target, oldest first
+    RequestGate m_requests;
+    TargetFlows m_flows;
     std::deque<std::pair<Time, FlowId>> m_unconfirmed; // deliveries of unseen flows, oldest first
-    unsigned m_unansweredInRow = 0; // since the last packet or heartbeat of the target
-    std::deque<Time> m_coldOffers; // of the last second
     std::vector<Marked> m_marked; // ring, by mark
     uint32_t m_lastMark = 0;
     Time m_lastExpiry;
--- a/libs/steering/decisions.cc
+++ b/libs/steering/decisions.cc
@@ -9,6 +9,8 @@
         return "offered";
     case Decision::Accepted:
         return "accepted";
+    case Decision::Waiting:
+        return "waiting";
     case Decision::PassedOn:
         return "passed-on";
     case Decision::Searched:
--- /dev/null
+++ b/libs/steering/flow_admission.cc
@@ -0,0 +1,76 @@
+#include "steering/flow_admission.h"
+
+#include <algorithm>
+
+namespace cicadaward::steering {
+
+namespace {
+
+    // A second of sent-and-arrived work may overlap two of ours by the way of a SYN, so the window is a little longer.
+    constexpr Duration warmUpWindow = std::chrono::milliseconds(1100);
+    constexpr size_t maxUnanswered = 1024;
+
+} // namespace
+
+const char* FlowAdmission::refusal(const TargetRegistration& registration, const ServicePolicy* policy)
+{
+    switch (registration.state()) {
+    case TargetState::Unknown:
+        return "no heartbeat yet";
+    case TargetState::Draining:
+        return "target is draining";
+    case TargetState::Gone:
+        return "target is gone";
+    case TargetState::Departed:
+        return "target has departed";
+    case TargetState::Ready:
+        break;
+    }
+    if (m_unansweredInRow >= m_options.silentOffers)
+        return "target does not answer"; // until its next packet or heartbeat
+    if (registration.age() > m_options.heartbeatFreshness)
+        return "heartbeat is overdue";
+    if (isWarmUpSpent(registration, policy))
+        return "warm-up budget is spent";
+    return nullptr;
+}
+
+bool FlowAdmission::isWarmUpSpent(const TargetRegistration& registration, const ServicePolicy* policy)
+{
+    Time now = m_clock.now();
+    while (!m_coldOffers.empty() && now - m_coldOffers.front() > warmUpWindow)
+        m_coldOffers.pop_front();
+    double rate = policy ? policy->warmUpRate : 0;
+    bool isCold = registration.isCold() || now < m_coldUntil;
+    if (!isCold || rate == 0)
+        return false; // without a stated budget the load alone decides
+    // One below the budget: the flow that would reach it may already be under way from the last window.
+    double budget = rate * m_options.warmUpFactor + m_options.warmUpSlack - 1;
+    return double(m_coldOffers.size()) + 1 > std::max(1.0, budget);
+}
+
+void FlowAdmission::offered(const FlowId& flow)
+{
+    Time now = m_clock.now();
+    if (m_unanswered.size() < maxUnanswered)
+        m_unanswered.emplace_back(now, flow);
+    m_coldOffers.push_back(now);
+}
+
+void FlowAdmission::answered(const FlowId& flow)
+{
+    m_unanswered.erase(std::remove_if(m_unanswered.begin(), m_unanswered.end(),
+                           [&](const auto& offer) { return offer.second == flow; }),
+        m_unanswered.end());
+}
+
+void FlowAdmission::onTick()
+{
+    Time now = m_clock.now();
+    while (!m_unanswered.empty() && now - m_unanswered.front().first > m_options.offerTimeout) {
+        ++m_unansweredInRow;
+        m_unanswered.pop_front();
+    }
+}
+
+} // namespace cicadaward::steering
--- a/libs/steering/flow_packet.h
+++ b/libs/steering/flow_packet.h
@@ -10,6 +10,7 @@
 
 #include "directory/directory.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -46,6 +47,7 @@
     uint32_t acknowledged = 0;
     uint32_t mark = 0; // returned unchanged in a bounced packet
     uint8_t copy = 0; // SYN: number of the copy, 0 for the first
+    std::chrono::milliseconds age { 0 }; // SYN: time since the caller sent the first copy
 };
 
 enum class Direction : uint8_t { FromCaller, FromTarget };
--- /dev/null
+++ b/libs/steering/request_gate.cc
@@ -0,0 +1,94 @@
+#include "steering/request_gate.h"
+
+namespace cicadaward::steering {
+
+bool RequestGate::hold(TargetFlow& flow, const RequestTerms& terms, const Frame& frame, const FlowPacket& packet,
+    const uint8_t* data, size_t size)
+{
+    bool isNew = flow.noteData(packet);
+    if (flow.waiting)
+        return m_queue.hold(packet.flow, packet.sequence, frame, data, size);
+    // A flow of which the target has not shown that it holds it may have to be searched elsewhere: it does not wait,
+    // and its request takes no slot.
+    if (!isNew || flow.working || !flow.heard || flow.isClosing())
+        return false;
+    if (hasFreeSlot()) {
+        start(flow);
+        return false;
+    }
+    Time now = m_clock.now();
+    Time born = flow.established ? now : flow.born; // the first request is as old as the flow
+    Duration objective = terms.objective > Duration::zero() ? terms.objective : terms.timeout;
+    WaitingRequest request { packet.flow, now, born + objective, born + terms.timeout, terms.priority };
+    if (!m_queue.add(request) || !m_queue.hold(packet.flow, packet.sequence, frame, data, size)) {
+        m_queue.take(packet.flow);
+        start(flow);
+        return false;
+    }
+    flow.waiting = true;
+    return true;
+}
+
+std::optional<HeldRequest> RequestGate::takeNext(TargetFlows& flows)
+{
+    while (m_queue.size() > 0) {
+        std::optional<HeldRequest> held = hasFreeSlot() ? m_queue.takeNext(m_work.duration()) : m_queue.takeOverdue();
+        if (!held)
+            return std::nullopt;
+        TargetFlow* flow = flows.find(held->request.flow);
+        if (!flow || !flow->waiting)
+            continue;
+        flow->waiting = false;
+        start(*flow);
+        return held;
+    }
+    return std::nullopt;
+}
+
+void RequestGate::start(TargetFlow& flow)
+{
+    flow.working = true;
+    flow.workStarted = m_clock.now();
+    m_work.started();
+}
+
+void RequestGate::finish(TargetFlow& flow)
+{
+    if (!flow.working)
+        return;
+    flow.working = false;
+    m_work.finished(m_clock.now() - flow.workStarted);
+}
+
+std::optional<HeldRequest> RequestGate::cancel(const FlowId& id, TargetFlow& flow)
+{
+    if (flow.working)
+        m_work.cancelled();
+    flow.working = false;
+    flow.waiting = false;
+    return m_queue.take(id);
+}
+
+void RequestGate::abandon(TargetFlows& flows, const std::function<Duration(const FlowId&)>& timeoutOf)
+{
+    Time now = m_clock.now();
+    flows.forEach([&](const FlowId& id, TargetFlow& flow) {
+        if (!flow.working || now - flow.workStarted <= timeoutOf(id))
+            return;
+        flow.working = false;
+        m_work.cancelled();
+    });
+}
+
+void RequestGate::reset()
+{
+    m_work.reset();
+    m_queue.clear();
+}
+
+bool RequestGate::isOverloaded(Duration timeout) const
+{
+    return !hasFreeSlot() && m_work.duration() * m_queue.size() / m_slots > timeout / 2;
+}
+
+} // namespace cicadaward::steering
--- /dev/null
+++ b/libs/steering/request_queue.cc
@@ -0,0 +1,92 @@
+#include "steering/request_queue.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cicadaward::steering {
+
+namespace {
+
+    // The smallest rank goes first.
+    using Rank = std::tuple<int, uint32_t, Time>;
+
+    // Requests differ in their work, and with less time to spare many would just miss what they were chosen for.
+    constexpr int spareWork = 2;
+
+    enum Hope { MeetsObjective, MeetsTimeout, MeetsNothing };
+
+    Rank rankOf(const WaitingRequest& request, Time answer)
+    {
+        if (answer <= request.objective)
+            return { MeetsObjective, request.priority, request.objective };
+        if (answer <= request.timeout)
+            return { MeetsTimeout, request.priority, request.timeout };
+        return { MeetsNothing, request.priority, request.timeout };
+    }
+
+} // namespace
+
+bool RequestQueue::add(const WaitingRequest& request)
+{
+    if (m_requests.size() >= m_options.maxRequests)
+        return false;
+    m_requests[request.flow].request = request;
+    return true;
+}
+
+bool RequestQueue::hold(const FlowId& flow, uint32_t sequence, const Frame& frame, const uint8_t* data, size_t size)
+{
+    auto found = m_requests.find(flow);
+    if (found == m_requests.end() || m_bytes + size > m_options.maxBytes)
+        return false;
+    std::vector<HeldPacket>& packets = found->second.packets;
+    bool held = std::any_of(
+        packets.begin(), packets.end(), [&](const HeldPacket& packet) { return packet.sequence == sequence; });
+    if (held)
+        return true;
+    packets.push_back({ sequence, frame, std::vector<uint8_t>(data, data + size) });
+    m_bytes += size;
+    return true;
+}
+
+std::optional<HeldRequest> RequestQueue::takeNext(Duration work)
+{
+    Time answer = m_clock.now() + spareWork * work;
+    auto best = m_requests.end();
+    for (auto i = m_requests.begin(); i != m_requests.end(); ++i) {
+        if (best == m_requests.end() || rankOf(i->second.request, answer) < rankOf(best->second.request, answer))
+            best = i;
+    }
+    return best == m_requests.end() ? std::nullopt : take(FlowId(best->first));
+}
+
+std::optional<HeldRequest> RequestQueue::takeOverdue()
+{
+    Time now = m_clock.now();
+    for (const auto& [flow, held] : m_requests) {
+        const WaitingRequest& request = held.request;
+        if (now - request.arrived > (request.timeout - request.arrived) * 3 / 4)
+            return take(FlowId(flow));
+    }
+    return std::nullopt;
+}
+
+std::optional<HeldRequest> RequestQueue::take(const FlowId& flow)
+{
+    auto found = m_requests.find(flow);
+    if (found == m_requests.end())
+        return std::nullopt;
+    HeldRequest held = std::move(found->second);
+    m_requests.erase(found);
+    for (const HeldPacket& packet : held.packets)
+        m_bytes -= packet.bytes.size();
+    return held;
+}
+
+void RequestQueue::clear()
+{
+    m_requests.clear();
+    m_bytes = 0;
+}
+
+} // namespace cicadaward::steering
--- /dev/null
+++ b/libs/steering/request_queue_test.cc
@@ -0,0 +1,172 @@
+#include "steering/request_queue.h"
+
+#include "core/random.h"
+#include "steering/target_flows.h"
+#include "steering/test_fabric.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace cicadaward;
+using namespace cicadaward::steering;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration work = 50ms;
+
+struct QueueFixture {
+    ManualClock clock;
+    RequestQueue queue { { 4, 1000 }, clock };
+
+    // A request that arrived `age` ago, with its objective and timeout counted from then.
+    bool add(uint16_t number, Duration age, Duration objective, Duration timeout, uint32_t priority)
+    {
+        Time arrived = clock.now() - age;
+        return queue.add({ flowNumber(number), arrived, arrived + objective, arrived + timeout, priority });
+    }
+    bool hold(uint16_t number, uint32_t sequence, size_t size)
+    {
+        std::vector<uint8_t> bytes(size, static_cast<uint8_t>(number));
+        return queue.hold(flowNumber(number), sequence, Frame(), bytes.data(), bytes.size());
+    }
+    uint16_t next()
+    {
+        std::optional<HeldRequest> held = queue.takeNext(work);
+        return held ? held->request.flow.caller.port : 0;
+    }
+};
+
+} // namespace
+
+TEST_CASE("queue: who can still meet the objective goes first, then by priority, then by time", "[queue]")
+{
+    struct Request {
+        Duration age;
+        Duration objective;
+        Duration timeout;
+        uint32_t priority;
+    };
+    struct Case {
+        const char* name;
+        std::vector<Request> requests; // numbered from 1
+        std::vector<uint16_t> order;
+    };
+    const Case cases[] = {
+        { "nothing", {}, { 0 } },
+        { "late ones last", { { 140ms, 150ms, 2s, 1 }, { 0ms, 150ms, 2s, 1 } }, { 2, 1, 0 } },
+        { "of those in time the earlier objective",
+            { { 0ms, 150ms, 2s, 1 }, { 20ms, 150ms, 2s, 1 }, { 0ms, 500ms, 2s, 1 } }, { 2, 1, 3 } },
+        { "of those in time the higher priority", { { 20ms, 150ms, 2s, 2 }, { 0ms, 150ms, 2s, 1 } }, { 2, 1 } },
+        { "a late one of high priority does not delay one in time", { { 500ms, 150ms, 2s, 0 }, { 0ms, 150ms, 2s, 2 } },
+            { 2, 1 } },
+        { "of the late ones the earlier timeout", { { 500ms, 150ms, 2s, 1 }, { 900ms, 150ms, 2s, 1 } }, { 2, 1 } },
+        { "one that cannot be answered before its timeout comes last",
+            { { 1990ms, 150ms, 2s, 0 }, { 900ms, 150ms, 2s, 1 } }, { 2, 1 } },
+        { "not enough time for requests that take longer than the mean",
+            { { 75ms, 150ms, 2s, 1 }, { 0ms, 150ms, 2s, 1 } }, { 2, 1 } },
+    };
+    for (const Case& test : cases) {
+        INFO(test.name);
+        QueueFixture fixture;
+        fixture.clock.advance(10s);
+        uint16_t number = 0;
+        for (const Request& request : test.requests)
+            fixture.add(++number, request.age, request.objective, request.timeout, request.priority);
+        for (uint16_t expected : test.order)
+            CHECK(fixture.next() == expected);
+    }
+}
+
+TEST_CASE("queue: requests and bytes are bounded, repeated packets are kept once", "[queue]")
+{
+    QueueFixture fixture;
+    CHECK_FALSE(fixture.hold(1, 100, 10)); // not waiting
+    for (uint16_t i = 1; i <= 4; ++i)
+        CHECK(fixture.add(i, 0ms, 150ms, 2s, 1));
+    CHECK_FALSE(fixture.add(5, 0ms, 150ms, 2s, 1));
+    CHECK(fixture.hold(1, 100, 400));
+    CHECK(fixture.hold(1, 100, 400));
+    CHECK(fixture.hold(1, 500, 400));
+    CHECK_FALSE(fixture.hold(2, 100, 400));
+    std::optional<HeldRequest> first = fixture.queue.take(flowNumber(1));
+    REQUIRE(first);
+    REQUIRE(first->packets.size() == 2);
+    CHECK(first->packets[0].sequence == 100);
+    CHECK(first->packets[1].sequence == 500);
+    CHECK(fixture.hold(2, 100, 400)); // its bytes are free again
+    CHECK_FALSE(fixture.queue.take(flowNumber(1)));
+}
+
+TEST_CASE("queue: three quarters of its time is the longest that a request waits", "[queue]")
+{
+    QueueFixture fixture;
+    fixture.add(1, 0ms, 150ms, 2s, 1);
+    fixture.clock.advance(1500ms);
+    CHECK_FALSE(fixture.queue.takeOverdue());
+    fixture.clock.advance(1ms);
+    CHECK(fixture.queue.takeOverdue());
+    CHECK_FALSE(fixture.queue.takeOverdue());
+}
+
+// The queue against a list that is sorted anew for each request.
+TEST_CASE("queue: random requests leave in the order of a simple engine", "[queue]")
+{
+    Random random(11);
+    for (int round = 0; round < 300; ++round) {
+        ManualClock clock;
+        clock.advance(10s);
+        RequestQueue queue({ 64, 1 << 20 }, clock);
+        std::vector<WaitingRequest> model;
+        for (int step = 0; step < 60; ++step) {
+            clock.advance(std::chrono::milliseconds(random.below(40)));
+            if (random.below(3) != 0) {
+                Time now = clock.now();
+                WaitingRequest request { flowNumber(static_cast<uint16_t>(step + 1)), now,
+                    now + std::chrono::milliseconds(50 + random.below(300)),
+                    now + std::chrono::milliseconds(400 + random.below(2000)), static_cast<uint32_t>(random.below(3)) };
+                queue.add(request);
+                model.push_back(request);
+                continue;
+            }
+            Time answer = clock.now() + 2 * work;
+            auto key = [&](const WaitingRequest& request) {
+                int hope = answer <= request.objective ? 0 : answer <= request.timeout ? 1 : 2;
+                return std::make_tuple(hope, request.priority, hope == 0 ? request.objective : request.timeout);
+            };
+            auto best = std::min_element(model.begin(), model.end(),
+                [&](const WaitingRequest& a, const WaitingRequest& b) { return key(a) < key(b); });
+            std::optional<HeldRequest> taken = queue.takeNext(work);
+            REQUIRE(taken.has_value() == (best != model.end()));
+            if (!taken)
+                continue;
+            CHECK(key(taken->request) == key(*best));
+            model.erase(std::find_if(model.begin(), model.end(),
+                [&](const WaitingRequest& request) { return request.flow == taken->request.flow; }));
+        }
+        CHECK(queue.size() == model.size());
+    }
+}
+
+TEST_CASE("flows: repeated data is not taken for a new request, also when sequences wrap around", "[flows]")
+{
+    TargetFlow flow;
+    FlowPacket packet = dataPacket(flowNumber(1), 100);
+    packet.sequence = 0xffffffc0;
+    CHECK(flow.noteData(packet));
+    CHECK_FALSE(flow.noteData(packet));
+    packet.sequence += 100;
+    CHECK(flow.noteData(packet));
+    packet.sequence -= 100;
+    CHECK_FALSE(flow.noteData(packet));
+
+    // A restarted agent learns from the target what the target already has.
+    TargetFlow restarted;
+    FlowPacket answer = dataPacket(flowNumber(1));
+    answer.acknowledged = 500;
+    restarted.noteAcknowledgement(answer);
+    packet.sequence = 400;
+    CHECK_FALSE(restarted.noteData(packet));
+    packet.sequence = 500;
+    CHECK(restarted.noteData(packet));
+}
--- a/libs/steering/route_table.h
+++ b/libs/steering/route_table.h
@@ -36,6 +36,9 @@
     std::string name;
     Endpoint address; // where callers send
     std::vector<WeightedService> services; // of new flows; at least one weight is above 0
+    std::chrono::milliseconds objective { 0 }; // latency objective of its requests; 0: none
+    std::chrono::milliseconds timeout { 0 }; // callers wait for an answer no longer; 0: not known
+    uint32_t priority = 0; // of its requests under load; 0 is served first
     std::vector<ServiceKey> former; // services of earlier configurations, newest first, at most maxFormerServices
 
     // The service of a new flow: equal hashes give equal services while the weights stay.
--- a/libs/steering/steering_schedule_test.cc
+++ b/libs/steering/steering_schedule_test.cc
@@ -32,6 +32,7 @@
 constexpr Duration stepLength = 5ms;
 // A flow that is tried this often without reaching its target counts as broken.
 constexpr int maxTries = 12;
+constexpr uint16_t requestBytes = 20;
 
 struct Packet {
     Time due;
@@ -69,6 +70,7 @@
             if (m_random.below(60) == 0)
                 disturb();
             deliver();
+            answer();
             for (auto& entry : m_entries)
                 entry->steering->onTick();
             for (auto& agent : m_agents)
@@ -89,6 +91,7 @@
     }
     size_t opened() const { return m_opened; }
     size_t delivered() const { return m_delivered; }
+    size_t waited() const { return m_waited; }
     size_t lost() const { return m_lost; }
     size_t ended() const { return m_ended; }
 
@@ -107,6 +110,8 @@
         Time nextPacket;
         bool reset = false;
         bool lost = false; // its target has ended; the caller does not know
+        bool asked = false; // a request has no answer yet
+        uint32_t sequence = 1; // of the next data
         uint8_t copies = 0;
     };
     // What the leader confirms: the state at the time of the question.
@@ -169,7 +174,10 @@
         {
             fabric.atCaller(flow, { packet, packet + size }, index);
         }
-        void decided(Decision, const FlowId&, const DecisionInputs&) override { }
+        void decided(Decision decision, const FlowId&, const DecisionInputs&) override
+        {
+            fabric.m_waited += decision == Decision::Waiting ? 1 : 0;
+        }
         Fabric& fabric;
         size_t index;
         uint64_t incarnation = 0;
@@ -230,7 +238,9 @@
                 flow.reset = true; // the caller's deadline
             else if (flow.tries > maxTries)
                 m_violation = "flow " + std::to_string(port) + " no longer reaches its target";
-            fromCaller(dataPacket(flow.id, 20));
+            FlowPacket packet = dataPacket(flow.id, flow.asked ? 0 : requestBytes);
+            packet.sequence = flow.sequence;
+            fromCaller(packet);
         }
     }
     void atTarget(size_t index, std::vector<uint8_t> bytes)
@@ -255,13 +265,28 @@
         if (open) {
             ++m_delivered;
             flow->second.tries = 0;
-            if (m_random.below(2) == 0) // an acknowledgement alone gets no answer
-                fromTarget(index, dataPacket(packet.flow, 30));
+            if (packet.length > 0 && packet.sequence == flow->second.sequence) {
+                flow->second.sequence += packet.length;
+                flow->second.asked = true;
+                m_answers.emplace(m_clock.now() + std::chrono::milliseconds(m_random.below(600)), packet.flow);
+            }
             return;
         }
         packet.bounced = true;
         fromTarget(index, packet);
     }
+    void answer()
+    {
+        while (!m_answers.empty() && m_answers.begin()->first <= m_clock.now()) {
+            FlowId id = m_answers.begin()->second;
+            m_answers.erase(m_answers.begin());
+            Flow& flow = m_flows[id.caller.port];
+            if (flow.lost || flow.reset)
+                continue;
+            flow.asked = false;
+            fromTarget(flow.target, dataPacket(id, 30));
+        }
+    }
     void fromTarget(size_t index, const FlowPacket& packet)
     {
         std::vector<uint8_t> bytes = FakeFormat::encode(packet);
@@ -311,6 +336,8 @@
             if (weights.empty()) // a service that a route no longer names still holds its flows
                 weights.push_back({ servicesOf[i][m_random.below(2)], 1 });
             routes.push_back(routeOf(addresses[i], weights));
+            routes.back().timeout = 2s;
+            routes.back().objective = 200ms;
         }
         m_routes = RouteTable::successor(
             m_routes, configurationOf(m_routes.version() + 1, std::move(routes), { "hub", "catalogue", "archive" }));
@@ -390,7 +417,7 @@
         heartbeat.draining = target.draining;
         heartbeat.born = target.born;
         heartbeat.sequence = ++target.sequence;
-        heartbeat.slots = 3;
+        heartbeat.slots = 6;
         m_agents[index]->steering->onHeartbeat(heartbeat);
     }
     void disturb()
@@ -493,6 +520,7 @@
     std::vector<std::unique_ptr<AgentNode>> m_agents;
     std::vector<Target> m_targets;
     std::map<uint16_t, Flow> m_flows;
+    std::multimap<Time, FlowId> m_answers; // by the time when the target has done the work
     std::priority_queue<Packet> m_network;
     uint64_t m_order = 0;
     uint16_t m_lastPort = 0;
@@ -501,6 +529,7 @@
     std::map<Endpoint, MemberRecord> m_register; // by agent
     std::map<size_t, Confirmation> m_confirmations; // by entry
     uint64_t m_registerSteps; // mean time until a new start is registered, in steps
+    size_t m_waited = 0; // requests
     size_t m_lost = 0; // flows open at a target that ended
     size_t m_ended = 0; // of these: reset before the caller gave up
     size_t m_opened = 0;
@@ -523,6 +552,7 @@
     uint64_t count = only ? 1 : numberFrom("CICADAWARD_SCHEDULES", 1000);
     size_t opened = 0;
     size_t delivered = 0;
+    size_t waited = 0;
     size_t lost = 0;
     size_t ended = 0;
     std::string failures;
@@ -533,6 +563,7 @@
             failures += "seed " + std::to_string(seed) + ": " + violation + "\n";
         opened += fabric.opened();
         delivered += fabric.delivered();
+        waited += fabric.waited();
         lost += fabric.lost();
         ended += fabric.ended();
     }
@@ -540,6 +571,7 @@
     CHECK(failures.empty());
     CHECK(opened > 200 * count);
     CHECK(delivered > 1000 * count);
+    CHECK(waited > 10 * count);
     // Flows of lost targets are reset as a rule: a lost datagram or a target that is registered late costs a few.
     INFO(lost << " flows were lost, of these " << ended << " reset");
     CHECK(10 * ended > 9 * lost);
--- /dev/null
+++ b/libs/steering/target_flows.cc
@@ -0,0 +1,94 @@
+#include "steering/target_flows.h"
+
+namespace cicadaward::steering {
+
+namespace {
+
+    // Sequences wrap around.
+    bool isAfter(uint32_t a, uint32_t b) { return static_cast<int32_t>(a - b) > 0; }
+
+} // namespace
+
+bool TargetFlow::noteData(const FlowPacket& packet)
+{
+    uint32_t end = packet.sequence + packet.length;
+    bool isNew = !requested || isAfter(end, requestEnd);
+    if (isNew)
+        requestEnd = end;
+    requested = true;
+    return isNew;
+}
+
+void TargetFlow::noteAcknowledgement(const FlowPacket& packet)
+{
+    if (!packet.ack || (requested && !isAfter(packet.acknowledged, requestEnd)))
+        return;
+    requestEnd = packet.acknowledged;
+    requested = true;
+}
+
+TargetFlow* TargetFlows::find(const FlowId& id)
+{
+    auto found = m_flows.find(id);
+    return found == m_flows.end() ? nullptr : &found->second;
+}
+
+TargetFlow* TargetFlows::add(const FlowId& id, Time now)
+{
+    if (isFull())
+        return nullptr;
+    TargetFlow& flow = m_flows[id];
+    flow.opened = flow.born = flow.lastPacket = now;
+    return &flow;
+}
+
+TargetFlow* TargetFlows::replace(const FlowId& id, Time now)
+{
+    erase(id);
+    return add(id, now);
+}
+
+void TargetFlows::erase(const FlowId& id)
+{
+    auto found = m_flows.find(id);
+    if (found == m_flows.end())
+        return;
+    m_closing -= found->second.isClosing() ? 1 : 0;
+    m_flows.erase(found);
+}
+
+void TargetFlows::clear()
+{
+    m_flows.clear();
+    m_closing = 0;
+}
+
+void TargetFlows::close(TargetFlow& flow, bool TargetFlow::*end)
+{
+    m_closing += flow.isClosing() ? 0 : 1;
+    flow.*end = true;
+}
+
+void TargetFlows::loseAll()
+{
+    for (auto i = m_flows.begin(); i != m_flows.end();) {
+        TargetFlow& flow = i->second;
+        if (flow.established) {
+            flow.lost = true;
+            flow.waiting = flow.working = false;
+            ++i;
+            continue;
+        }
+        m_closing -= flow.isClosing() ? 1 : 0;
+        m_flows.erase(i++);
+    }
+}
+
+bool TargetFlows::isExpired(const TargetFlow& flow, Time now, Duration idle, Duration closedRetention)
+{
+    Duration silent = now - flow.lastPacket;
+    bool closed = flow.callerClosed && flow.targetClosed;
+    return ((closed || !flow.answered) && silent > closedRetention) || silent > idle;
+}
+
+} // namespace cicadaward::steering
--- /dev/null
+++ b/libs/steering/target_flows.h
@@ -0,0 +1,93 @@
+// The flows that an agent has seen at its target. The target itself has the last word on what it holds; this table
+// tells where a flow's request stands and which flows ended with an earlier start of the target.
+//
+// Memory: at most `limit` flows of about 150 bytes. Cost: O(1) a packet, O(flows) for loseAll() and expire().
+#pragma once
+
+#include "core/clock.h"
+#include "steering/flow_packet.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <cstdint>
+
+namespace cicadaward::steering {
+
+struct TargetFlow {
+    Time opened;
+    Time born; // when the caller began to open it, as far as the SYN tells
+    Time lastPacket;
+    Endpoint entry; // port 0, or the entry that waits for Located
+    bool answered = false; // the target has sent a packet of the flow, or has not bounced one
+    bool heard = false; // the target has sent a packet of the flow to this process
+    bool established = false; // the target has sent more than the answer to the SYN: the caller chose this target
+    bool requested = false; // requestEnd is known
+    bool waiting = false; // a request waits in the queue
+    bool working = false; // a request is at the target and its answer has not begun
+    bool callerClosed = false;
+    bool targetClosed = false;
+    bool lost = false; // its target has started again or left for good
+    uint32_t requestEnd = 0; // sequence after the newest data of the caller that was seen or acknowledged
+    Time workStarted;
+
+    bool isClosing() const { return callerClosed || targetClosed; }
+    // Takes note of the caller's data. False for a repeated packet.
+    bool noteData(const FlowPacket&);
+    // The target has the caller's data up to the one that its packet acknowledges.
+    void noteAcknowledgement(const FlowPacket&);
+};
+
+class TargetFlows {
+public:
+    explicit TargetFlows(size_t limit)
+        : m_limit(limit)
+    {
+    }
+
+    TargetFlow* find(const FlowId&);
+    // Returns null when the table is full.
+    TargetFlow* add(const FlowId&, Time now);
+    // A flow that was offered anew; replaces what was known of it.
+    TargetFlow* replace(const FlowId&, Time now);
+    void erase(const FlowId&);
+    void clear();
+    void close(TargetFlow&, bool TargetFlow::*end);
+    // The target has ended: flows that were open at it are marked as lost, all others are forgotten. One that was
+    // merely offered, or whose SYN was answered by several targets, may be open at another.
+    void loseAll();
+    // Calls `ended` for each flow that is idle, closed for long or was never answered, and forgets it.
+    template <typename Ended> void expire(Time now, Duration idle, Duration closedRetention, Ended ended);
+    // Calls `visit` for each flow.
+    template <typename Visit> void forEach(Visit visit);
+
+    size_t size() const { return m_flows.size(); }
+    bool isFull() const { return m_flows.size() >= m_limit; }
+    size_t open() const { return m_flows.size() - m_closing; }
+
+private:
+    static bool isExpired(const TargetFlow&, Time now, Duration idle, Duration closedRetention);
+
+    const size_t m_limit;
+    absl::flat_hash_map<FlowId, TargetFlow> m_flows;
+    size_t m_closing = 0; // flows of which an end has closed
+};
+
+template <typename Ended> void TargetFlows::expire(Time now, Duration idle, Duration closedRetention, Ended ended)
+{
+    for (auto i = m_flows.begin(); i != m_flows.end();) {
+        if (!isExpired(i->second, now, idle, closedRetention)) {
+            ++i;
+            continue;
+        }
+        ended(i->first, i->second);
+        m_closing -= i->second.isClosing() ? 1 : 0;
+        m_flows.erase(i++);
+    }
+}
+
+template <typename Visit> void TargetFlows::forEach(Visit visit)
+{
+    for (auto& [id, flow] : m_flows)
+        visit(id, flow);
+}
+
+} // namespace cicadaward::steering
--- a/libs/steering/work_meter.h
+++ b/libs/steering/work_meter.h
@@ -1,4 +1,4 @@
-// Requests in hand at a target and their mean over about a second.
+// Requests in hand at a target, their mean over about a second, and how long one takes.
 //
 // The mean decays exponentially and is brought up to date only when the number changes or is read, so its cost follows
 // the requests and no timer is needed.
@@ -24,7 +24,15 @@
         update();
         ++m_inHand;
     }
-    void finished()
+    // A request that was answered after `took`.
+    void finished(Duration took)
+    {
+        cancelled();
+        constexpr double weight = 1.0 / 16;
+        m_duration += (std::chrono::duration<double>(took) - m_duration) * weight;
+    }
+    // A request that ended in another way.
+    void cancelled()
     {
         update();
         if (m_inHand > 0)
@@ -34,13 +42,17 @@
     {
         m_inHand = 0;
         m_mean = 0;
+        m_duration = initialDuration;
         m_updated = m_clock.now();
     }
     uint32_t inHand() const { return m_inHand; }
+    // Mean time of the last requests from the first byte to the first byte of the answer.
+    Duration duration() const { return std::chrono::duration_cast<Duration>(m_duration); }
     double mean() const { return m_mean + (m_inHand - m_mean) * (1 - decay()); }
 
 private:
     static constexpr double windowSeconds = 1;
+    static constexpr std::chrono::duration<double> initialDuration { 0.05 }; // before anything is known
 
     double decay() const
     {
@@ -57,6 +69,7 @@
     Time m_updated;
     uint32_t m_inHand = 0;
     double m_mean = 0;
+    std::chrono::duration<double> m_duration = initialDuration;
 };
 
 } // namespace cicadaward::steering
