Poll at an interval that grows with the number of pollers

Cause: every entry and agent polled every control instance once in 0.8 s, so the bytes of an instance grew with the machines (134 kB/s at the busiest of 301, packets included; the users ask for 13 KB/s of control). Change: a process polls one instance at a time, 0.4 s apart, and at least 3.3 ms for each process that polls, up to 10 s; instances without a state get one turn in eight; each process visits them in an order of its own. Members that were never heard are not reported as silent.

--- a/daemons/flow_control_daemon.cc
+++ b/daemons/flow_control_daemon.cc
@@ -34,7 +34,7 @@
         options.seeds = controlSeeds(settings);
         options.group.toleratedLosses = static_cast<size_t>(settings.number("control.tolerated-losses"));
         options.consensus.electionTimeout = settings.duration("raft.election-timeout-ms");
-        options.consensus.heartbeatInterval = options.consensus.electionTimeout / 8;
+        options.consensus.heartbeatInterval = options.consensus.electionTimeout / 4;
         options.consensus.promoteLearners = false; // Group decides
         options.consensus.leaseReads = false; // ControlCore confirms each read
         options.consensus.messageBytes = 64 << 10;
--- a/libs/cluster/cluster_test.cc
+++ b/libs/cluster/cluster_test.cc
@@ -197,20 +197,20 @@
     CHECK(row().state == steering::TargetState::Unknown);
     SECTION("an announcement of the registered start supersedes it")
     {
-        table.update(member);
+        table.update(member, 0ms);
         CHECK(row().state == steering::TargetState::Ready);
         CHECK(table.registerChanges(members).add.empty());
     }
     SECTION("a start that the register does not have is to be added")
     {
         member.sequence = member.targetStart = 4;
-        table.update(member);
+        table.update(member, 0ms);
         REQUIRE(table.registerChanges(members).add.size() == 1);
         CHECK(table.registerChanges(members).add[0].targetStart == 4);
     }
     SECTION("a registered start that is newer than the row shows, also under another service")
     {
-        table.update(member);
+        table.update(member, 0ms);
         members[member.agent].sequence = 6;
         members[member.agent].service = steering::serviceKey("other");
         table.follow(members);
@@ -221,7 +221,7 @@
         steering::MemberRecord departed = member;
         departed.sequence = 3;
         departed.state = steering::TargetState::Departed;
-        table.update(departed);
+        table.update(departed, 0ms);
         std::vector<steering::MemberRecord> remove = table.registerChanges(members).remove;
         REQUIRE(remove.size() == 1);
         table.remove(remove[0]);
@@ -234,12 +234,12 @@
         table.remove(removed);
         CHECK(row().state == steering::TargetState::Departed);
         member.sequence = member.targetStart = 2; // the next start
-        table.update(member);
+        table.update(member, 0ms);
         CHECK(row().state == steering::TargetState::Ready);
     }
     SECTION("only after half a day of silence a member that has not departed is removed; it may come back")
     {
-        table.update(member);
+        table.update(member, 0ms);
         clock.advance(11h);
         table.expire();
         CHECK(table.registerChanges(members).remove.empty());
@@ -298,6 +298,54 @@
     }
 }
 
+// Guards against control traffic that grows with the size of the system (13 KB/s for each daemon at the target size),
+// and against turns that are wasted on instances which can tell nothing.
+TEST_CASE("poller: the interval grows with the pollers, and instances without a state are polled rarely", "[poller]")
+{
+    struct Output final : PollerOutput {
+        void sendMessage(Endpoint control, const Envelope&) override { polls.push_back(control); }
+        void contactLost() override { }
+        void contactRenewed() override { }
+        std::vector<Endpoint> polls;
+    };
+    struct Case {
+        uint32_t pollers;
+        size_t fewest; // polls in 100 s
+        size_t most;
+    };
+    for (const Case& test :
+        { Case { 40, 245, 252 }, Case { 303, 95, 101 }, Case { 3020, 9, 11 }, Case { 50000, 9, 11 } }) {
+        ManualClock clock;
+        Random random(1);
+        Output output;
+        PollerOptions options;
+        options.seeds = { peerA, peerB };
+        Poller poller(options, clock, random, output);
+        PollReply reply;
+        reply.pollers = test.pollers;
+        reply.controls = { peerA, peerB };
+        reply.stateIndex = 1;
+        reply.state = encodeMessage(ForwardingState { 1, {}, {} });
+        poller.onReply(peerA, reply);
+        reply.stateIndex = 0; // without a disk
+        poller.onReply(peerB, reply);
+        for (int i = 0; i < 10000; ++i) {
+            clock.advance(10ms);
+            size_t before = output.polls.size();
+            poller.onTick();
+            if (output.polls.size() == before)
+                continue;
+            reply.stateIndex = output.polls.back() == peerA ? 1 : 0;
+            poller.onReply(output.polls.back(), reply);
+        }
+        INFO(test.pollers << " pollers");
+        CHECK(output.polls.size() >= test.fewest);
+        CHECK(output.polls.size() <= test.most);
+        auto useless = static_cast<size_t>(std::count(output.polls.begin(), output.polls.end(), peerB));
+        CHECK(useless <= output.polls.size() / 8 + 1);
+    }
+}
+
 TEST_CASE("poller: a confirmation counts only with the newest state, and by the poll that it answers", "[poller]")
 {
     struct Output final : PollerOutput {
@@ -445,13 +493,13 @@
     ManualClock clock;
     MemberTable table(clock, 77);
     for (uint32_t i = 0; i < 10; ++i)
-        table.update(memberNumber(i));
+        table.update(memberNumber(i), 0ms);
     PollReply all;
     table.answer({}, all);
     CHECK(all.members.size() == 10);
     steering::MemberRecord changed = memberNumber(3);
     changed.sequence = 2;
-    table.update(changed);
+    table.update(changed, 0ms);
     CHECK(table.incarnationOf(changed.agent) == 10);
     PollReply delta;
     table.answer(all.table, delta);
@@ -462,17 +510,17 @@
     steering::MemberRecord old = memberNumber(3);
     old.incarnation = 9;
     old.sequence = 50;
-    table.update(old);
+    table.update(old, 0ms);
     CHECK(table.incarnationOf(old.agent) == 10); // tells a restarted agent what it must outlive
 
     clock.advance(3100ms);
     for (uint32_t i = 0; i < 4; ++i)
-        table.update(i == 3 ? changed : memberNumber(i));
+        table.update(i == 3 ? changed : memberNumber(i), 0ms);
     PollReply cutOff;
     table.answer(delta.table, cutOff);
     CHECK(cutOff.silent.empty());
     for (uint32_t i = 4; i < 9; ++i)
-        table.update(memberNumber(i));
+        table.update(memberNumber(i), 0ms);
     PollReply judged;
     table.answer(delta.table, judged);
     CHECK(judged.silent == std::vector<Endpoint> { memberNumber(9).agent });
@@ -487,7 +535,7 @@
     MemberTable table(clock, 1);
     const uint32_t members = maxReplyMembers + 100;
     for (uint32_t i = 0; i < members; ++i)
-        table.update(memberNumber(i));
+        table.update(memberNumber(i), 0ms);
     PollReply first;
     table.answer({}, first);
     CHECK(first.members.size() == maxReplyMembers);
--- a/libs/cluster/codec.h
+++ b/libs/cluster/codec.h
@@ -42,11 +42,11 @@
         CICADAWARD_CODEC(cicadaward::cluster::ForwardingState, 3, v.index, v.configuration, v.out)
         CICADAWARD_CODEC(cicadaward::cluster::Envelope, 2, v.kind, v.body)
         CICADAWARD_GROWN_CODEC(
-            cicadaward::cluster::Poll, 4, 5, v.stateIndex, v.table, v.wantsMembers, v.records, v.confirmation)
+            cicadaward::cluster::Poll, 4, 6, v.stateIndex, v.table, v.wantsMembers, v.records, v.confirmation, v.period)
         CICADAWARD_CODEC(cicadaward::cluster::TableVersion, 2, v.owner, v.number)
-        CICADAWARD_GROWN_CODEC(cicadaward::cluster::PollReply, 9, 12, v.stateIndex, v.state, v.table, v.members,
+        CICADAWARD_GROWN_CODEC(cicadaward::cluster::PollReply, 9, 13, v.stateIndex, v.state, v.table, v.members,
             v.silent, v.controls, v.leader, v.term, v.newestIncarnation, v.registeredIncarnation, v.registeredStart,
-            v.confirmation)
+            v.confirmation, v.pollers)
         CICADAWARD_CODEC(cicadaward::cluster::Hello, 3, v.instance, v.address, v.forwarded)
 
     } // namespace adaptor
--- a/libs/cluster/control_core.cc
+++ b/libs/cluster/control_core.cc
@@ -14,6 +14,8 @@
     constexpr RequestNumber ownRequests = RequestNumber(1) << 63;
     // Polls beyond this number are answered without a confirmation.
     constexpr size_t maxConfirmations = 512;
+    // Longer than the time in which the slowest poller polls every instance once.
+    constexpr Duration pollerRetention = std::chrono::seconds(120);
 
 } // namespace
 
@@ -71,12 +73,14 @@
 {
     perform(m_raft.handle(raft::Tick {}));
     expireOrders(false);
+    askForConfirmation();
     answerConfirmed();
     tendRegister();
     Time now = m_clock.now();
     if (now >= m_nextGroupLook) {
         m_nextGroupLook = now + m_options.groupInterval;
         m_members.expire();
+        forgetPollers();
         tendGroup();
     }
     if (now >= m_nextHello) {
@@ -181,6 +185,17 @@
     answerConfirmed();
 }
 
+// One question to the voters serves everything that has arrived before it.
+void ControlCore::askForConfirmation()
+{
+    Time now = m_clock.now();
+    bool isAsked = m_confirmations.empty() || m_confirmations.back().arrived < m_confirmationAsked;
+    if (isAsked || m_confirmations.back().arrived >= now)
+        return;
+    m_confirmationAsked = now;
+    perform(m_raft.handle(raft::ConfirmLeadership {}));
+}
+
 void ControlCore::answerConfirmed()
 {
     while (!m_confirmations.empty()) {
@@ -363,13 +378,21 @@
 void ControlCore::onPoll(Endpoint sender, const Poll& poll)
 {
     for (const steering::MemberRecord& record : poll.records)
-        m_members.update(record);
+        m_members.update(record, poll.period);
+    if (poll.records.size() < 2) // a follower that passes members on is no poller
+        m_pollers[sender] = m_clock.now();
     if (poll.confirmation != 0 && m_raft.isLeader() && m_confirmations.size() < maxConfirmations)
         m_confirmations.push_back({ m_clock.now(), PollConfirmation { sender, poll } });
     else
         answerPoll(sender, poll, false);
 }
 
+void ControlCore::forgetPollers()
+{
+    for (auto i = m_pollers.begin(); i != m_pollers.end();)
+        i = m_clock.now() - i->second > pollerRetention ? m_pollers.erase(i) : std::next(i);
+}
+
 void ControlCore::answerPoll(Endpoint sender, const Poll& poll, bool confirmed)
 {
     PollReply reply;
@@ -381,6 +404,7 @@
         reply.registeredIncarnation = registered->second.incarnation;
         reply.registeredStart = registered->second.targetStart;
     }
+    reply.pollers = static_cast<uint32_t>(m_pollers.size());
     reply.stateIndex = m_state.index();
     if (poll.stateIndex < m_state.index() && m_state.routes().version() != 0) {
         if (m_forwardingIndex != m_state.index()) {
--- a/libs/cluster/control_core.h
+++ b/libs/cluster/control_core.h
@@ -124,6 +124,7 @@
 
     bool redirect(RequestNumber);
     void confirm(RequestNumber, bool read);
+    void askForConfirmation();
     void answerConfirmed();
     void answer(const OperatorConfirmation&, bool confirmed);
     void answer(const PollConfirmation&, bool confirmed);
@@ -145,6 +146,7 @@
     void onHello(Hello);
     void onPoll(Endpoint sender, const Poll&);
     void answerPoll(Endpoint sender, const Poll&, bool confirmed);
+    void forgetPollers();
     void tendRegister();
     void proposeChanges(RegisterChanges);
     void proposeMembers(CommandKind, std::vector<steering::MemberRecord>);
@@ -162,9 +164,11 @@
     raft::Raft m_raft;
     State m_state;
     MemberTable m_members;
+    std::map<Endpoint, Time> m_pollers; // when each one polled last
     Group m_group;
     std::map<InstanceId, Endpoint> m_seen; // addresses from which consensus messages came, or that the log names
     std::map<LogIndex, Order> m_orders; // accepted, not yet committed
+    Time m_confirmationAsked; // when the voters were asked last
     std::deque<Confirmation> m_confirmations; // in the order of their arrival; bounded by the caller's open requests
     std::deque<raft::RaftAction> m_actions; // not performed yet
     bool m_performing = false;
--- a/libs/cluster/member_table.cc
+++ b/libs/cluster/member_table.cc
@@ -19,17 +19,21 @@
 
 } // namespace
 
-void MemberTable::update(const steering::MemberRecord& record)
+void MemberTable::update(const steering::MemberRecord& record, Duration period)
 {
     auto found = m_rows.find(record.agent);
     if (found == m_rows.end()) {
-        if (m_rows.size() < steering::maxMembers)
-            change(m_rows[record.agent], record);
-        return;
+        if (m_rows.size() >= steering::maxMembers)
+            return;
+        found = m_rows.emplace(record.agent, Row()).first;
+        change(found->second, record);
     }
     Row& row = found->second;
-    if (row.record.incarnation == record.incarnation)
+    if (row.record.incarnation == record.incarnation) {
         row.heard = m_clock.now();
+        row.period = period;
+        row.announced = true;
+    }
     if (record.isNewerThan(row.record))
         change(row, record);
 }
@@ -114,9 +118,9 @@
 
     size_t heard = 0;
     for (const auto& [key, row] : m_rows) {
-        if (m_clock.now() - row.heard <= announceSilence)
+        if (m_clock.now() - row.heard <= std::max(announceSilence, 2 * row.period))
             ++heard;
-        else if (isLive(row.record.state) && reply.silent.size() < maxReplyMembers)
+        else if (row.announced && isLive(row.record.state) && reply.silent.size() < maxReplyMembers)
             reply.silent.push_back(row.record.agent);
     }
     // An instance that hears few of the agents is itself cut off and cannot judge them.
--- a/libs/cluster/member_table.h
+++ b/libs/cluster/member_table.h
@@ -13,7 +13,7 @@
 
 namespace cicadaward::cluster {
 
-constexpr Duration announceSilence = std::chrono::seconds(3);
+constexpr Duration announceSilence = std::chrono::seconds(3); // and two periods of the member's polls
 constexpr Duration forgetAfter = std::chrono::seconds(90); // a member that is not registered
 // A registered member that is silent may hold flows of a whole shift behind a cut.
 constexpr Duration deregisterAfter = std::chrono::hours(12);
@@ -33,7 +33,8 @@
     {
     }
 
-    void update(const steering::MemberRecord&);
+    // `period`: the time within which the member announces itself again.
+    void update(const steering::MemberRecord&, Duration period);
     // The incarnation of the record that is held; 0 without one. It is above that of a live agent when the agent's
     // clock was set back before it started.
     uint64_t incarnationOf(Endpoint agent) const;
@@ -54,6 +55,8 @@
         steering::MemberRecord record;
         uint64_t number = 0; // of its last change
         Time heard;
+        Duration period {};
+        bool announced = false; // to this instance, not only by the register
         bool registered = false;
     };
     void change(Row&, const steering::MemberRecord&);
--- a/libs/cluster/messages.h
+++ b/libs/cluster/messages.h
@@ -5,6 +5,7 @@
 #include "directory/directory.h"
 #include "steering/members.h"
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,7 @@
     bool wantsMembers = false;
     std::vector<steering::MemberRecord> records; // an agent's own one
     uint64_t confirmation = 0; // not 0: the leader answers only once it has confirmed that it leads, with this number
+    std::chrono::milliseconds period { 0 }; // the next poll to the same instance comes within about this time
 };
 
 struct PollReply {
@@ -44,6 +46,7 @@
     uint64_t newestIncarnation = 0; // of the poller's own record as the sender knows it
     uint64_t registeredIncarnation = 0; // of the poller's own record in the register, with its targetStart; 0: none
     uint64_t registeredStart = 0;
+    uint32_t pollers = 0; // processes that poll the sender
     // Number of the poll when this reply, with those before it, holds all registered members and the newest state.
     uint64_t confirmation = 0;
 };
--- a/libs/cluster/poller.cc
+++ b/libs/cluster/poller.cc
@@ -1,6 +1,7 @@
 #include "cluster/poller.h"
 
 #include "cluster/codec.h"
+#include "core/hash.h"
 
 #include <algorithm>
 
@@ -8,7 +9,18 @@
 
 namespace {
 
+    // Without a reply for this long, and for so many intervals, contact is lost.
     constexpr Duration contactLimit = std::chrono::seconds(3);
+    constexpr int contactIntervals = 4;
+    constexpr uint64_t turnsOfAll = 8; // each such turn goes to an instance with or without a state
+
+    // The first one after `last`, in cyclic order, that `isWanted` accepts; the list must have one.
+    template <typename Wanted> Endpoint nextAfter(const std::vector<Endpoint>& controls, Endpoint last, Wanted isWanted)
+    {
+        auto begin = std::upper_bound(controls.begin(), controls.end(), last);
+        auto found = std::find_if(begin, controls.end(), isWanted);
+        return found != controls.end() ? *found : *std::find_if(controls.begin(), controls.end(), isWanted);
+    }
 
 } // namespace
 
@@ -16,14 +28,27 @@
     : m_options(std::move(options))
     , m_clock(clock)
     , m_output(output)
+    , m_salt(random.next())
     , m_controls(m_options.seeds)
+    , m_waitingInterval(m_options.firstInterval)
     , m_nextPoll(clock.now())
     , m_lastReply(clock.now())
 {
-    std::sort(m_controls.begin(), m_controls.end());
-    // Processes that start together begin with different instances.
+    sortControls();
     if (!m_controls.empty())
-        m_lastPolled = m_controls[random.below(m_controls.size())];
+        m_lastPolled = m_lastOfAll = m_controls.back();
+}
+
+// In an order of this process's own: processes that start together do not visit the instances in step. It does not
+// depend on the order in which replies name the instances, so each one gets its turn.
+void Poller::sortControls()
+{
+    std::sort(m_controls.begin(), m_controls.end(), [this](Endpoint a, Endpoint b) { return comesBefore(a, b); });
+}
+
+bool Poller::comesBefore(Endpoint a, Endpoint b) const
+{
+    return std::make_pair(mixHash(m_salt, a.key()), a) < std::make_pair(mixHash(m_salt, b.key()), b);
 }
 
 void Poller::poll(Endpoint control, uint64_t confirmation)
@@ -36,6 +61,7 @@
         poll.table = found->second;
     poll.records = m_output.ownRecords();
     poll.confirmation = confirmation;
+    poll.period = std::chrono::duration_cast<std::chrono::milliseconds>(interval() * turnsOfAll);
     m_output.sendMessage(control, { MessageKind::Poll, encodeMessage(poll) });
 }
 
@@ -65,20 +91,46 @@
         m_output.membersConfirmed(m_confirmationTimes[reply.confirmation % m_confirmationTimes.size()]);
 }
 
+Duration Poller::interval() const
+{
+    return std::clamp<Duration>(m_pollers * m_options.intervalPerPoller, m_options.interval,
+        std::max(m_options.interval, m_options.longestInterval));
+}
+
+// Those without a state know nothing that helps, but one that has just got its first state must be found.
+Endpoint Poller::nextControl()
+{
+    auto mayHaveState = [this](Endpoint control) { return m_withoutState.count(control) == 0; };
+    bool leavesOut = ++m_turns % turnsOfAll != 0 && std::any_of(m_controls.begin(), m_controls.end(), mayHaveState);
+    auto isWanted = [&](Endpoint control) { return !leavesOut || mayHaveState(control); };
+    Endpoint& last = leavesOut ? m_lastPolled : m_lastOfAll;
+    auto after = std::upper_bound(
+        m_controls.begin(), m_controls.end(), last, [this](Endpoint a, Endpoint b) { return comesBefore(a, b); });
+    auto next = std::find_if(after, m_controls.end(), isWanted);
+    if (next == m_controls.end())
+        next = std::find_if(m_controls.begin(), m_controls.end(), isWanted);
+    last = *next;
+    return last;
+}
+
 void Poller::onTick()
 {
     Time now = m_clock.now();
-    if (m_inContact && now - m_lastReply > contactLimit) {
+    if (m_inContact && now - m_lastReply > std::max(contactLimit, contactIntervals * interval())) {
         m_inContact = false;
+        m_withoutState.clear();
         m_output.contactLost();
     }
     if (m_controls.empty() || now < m_nextPoll)
         return;
-    auto next = std::upper_bound(m_controls.begin(), m_controls.end(), m_lastPolled);
-    m_lastPolled = next == m_controls.end() ? m_controls.front() : *next;
-    poll(m_lastPolled, 0);
-    Duration interval = m_stateIndex == 0 || m_output.isWaiting() ? m_options.startInterval : m_options.interval;
-    m_nextPoll = now + interval / static_cast<int>(m_controls.size());
+    poll(nextControl(), 0);
+    if (m_stateIndex != 0 && !m_output.isWaiting()) {
+        m_waitingInterval = m_options.firstInterval;
+        m_nextPoll = now + interval();
+        return;
+    }
+    m_nextPoll = now + m_waitingInterval;
+    m_waitingInterval = std::min(2 * m_waitingInterval, m_options.waitingInterval);
 }
 
 bool Poller::onMessage(Endpoint sender, const Envelope& envelope)
@@ -97,6 +149,11 @@
         m_inContact = true;
         m_output.contactRenewed();
     }
+    m_pollers = reply.pollers;
+    if (reply.stateIndex == 0)
+        m_withoutState.insert(sender);
+    else
+        m_withoutState.erase(sender);
     if (reply.newestIncarnation != 0)
         m_output.noteIncarnation(reply.newestIncarnation);
     if (reply.registeredIncarnation != 0)
@@ -133,8 +190,8 @@
             next.push_back(seed);
     }
     next.resize(std::min(next.size(), maxControls));
-    std::sort(next.begin(), next.end());
     m_controls = std::move(next);
+    sortControls();
 }
 
 } // namespace cicadaward::cluster
--- a/libs/cluster/poller.h
+++ b/libs/cluster/poller.h
@@ -4,9 +4,9 @@
 //     poller.onTick(); // sends what is due
 //     poller.onMessage(sender, envelope); // false: not a reply
 //
-// Cost: one poll each interval / number of control instances, whatever the size of the system; a reply carries what has
-// changed. State index and member records only rise, so an instance that lags or was cut off cannot bring old ones
-// back.
+// Cost: one poll in an interval that grows with the number of processes that poll, so that the traffic of a control
+// instance stays the same whatever the size of the system; a reply carries what has changed. State index and member
+// records only rise, so an instance that lags or was cut off cannot bring old ones back.
 #pragma once
 
 #include "cluster/messages.h"
@@ -24,8 +24,11 @@
 struct PollerOptions {
     std::vector<Endpoint> seeds; // control datagram endpoints
     bool wantsMembers = false;
-    Duration interval = std::chrono::milliseconds(800); // in which every control instance is polled once
-    Duration startInterval = std::chrono::milliseconds(120); // same, until there is a state, or while isWaiting()
+    Duration interval = std::chrono::milliseconds(400); // shortest time between two polls
+    Duration intervalPerPoller = std::chrono::microseconds(3300); // the interval is at least this for each poller
+    Duration longestInterval = std::chrono::seconds(10); // a configuration must be in force within 19 s
+    Duration firstInterval = std::chrono::milliseconds(30); // until there is a state, or while isWaiting(); it doubles
+    Duration waitingInterval = std::chrono::milliseconds(60); // up to this
     Duration confirmationInterval = std::chrono::milliseconds(50); // shortest time between two confirmations
 };
 
@@ -76,15 +79,26 @@
 
 private:
     void poll(Endpoint control, uint64_t confirmation);
+    Endpoint nextControl();
+    void sortControls();
+    bool comesBefore(Endpoint, Endpoint) const;
+    Duration interval() const;
     void takeConfirmation(const PollReply&);
     void learn(LogIndex index, const std::vector<Endpoint>& controls);
 
     const PollerOptions m_options;
     const Clock& m_clock;
     PollerOutput& m_output;
-    std::vector<Endpoint> m_controls; // sorted, so that the turns do not depend on the order in which replies name them
+    const uint64_t m_salt;
+    std::vector<Endpoint> m_controls; // in the order of comesBefore()
     std::map<Endpoint, TableVersion> m_tables; // by control instance
+    // Those whose last reply had no state: without disks, or still empty. They are polled rarely.
+    std::set<Endpoint> m_withoutState;
+    uint64_t m_turns = 0;
     Endpoint m_lastPolled;
+    Endpoint m_lastOfAll; // polled last in the turns that leave nobody out
+    uint32_t m_pollers = 0; // processes that poll, as the last reply says
+    Duration m_waitingInterval;
     Time m_nextPoll;
     Time m_lastReply;
     bool m_inContact = false;
--- a/libs/raft/raft.h
+++ b/libs/raft/raft.h
@@ -140,6 +140,7 @@
     void on(const TransferLeadership& event);
     void on(SnapshotTaken& event);
     void on(const Stop& event);
+    void on(const ConfirmLeadership&);
     void flush();
     void send(InstanceId to, decltype(RaftMessage::body) body, bool afterPersist = true);
     void sendInTerm(InstanceId to, Term term, decltype(RaftMessage::body) body, bool afterPersist);
--- a/libs/raft/raft_replication.cc
+++ b/libs/raft/raft_replication.cc
@@ -75,6 +75,18 @@
     }
 }
 
+// Unlike a heartbeat, it repeats nothing that is under way. Peers whose log is not known yet answer the probe that they
+// have been sent.
+void Raft::on(const ConfirmLeadership&)
+{
+    if (!isLeader())
+        return;
+    for (auto& [id, peer] : m_peers) {
+        if (peer.mode == SendMode::Replicate)
+            sendAppend(id, peer, true);
+    }
+}
+
 // Sends as much as the bounds allow.
 void Raft::replicate(InstanceId id, Peer& peer)
 {
--- a/libs/settings/flow_settings.cc
+++ b/libs/settings/flow_settings.cc
@@ -30,8 +30,8 @@
         return table;
     }
 
-    const Setting pollInterval { "control.poll-interval-ms", SettingType::Milliseconds, "ms", "800", 50, 60000,
-        "time in which every control instance is polled once" };
+    const Setting pollInterval { "control.poll-interval-ms", SettingType::Milliseconds, "ms", "400", 50, 10000,
+        "shortest time between two polls of control instances; it grows with the number of processes that poll" };
 
 } // namespace
 
