Tell pollers of new states, and send differences instead of whole tables

A poller fetched the whole forwarding state after each change (234,093 bytes a change at 300 processes) and the whole member table from each instance that it had no version of, and the poll interval alone decided when a change was in force (9.6 s).

Change: after each change, two instances chosen for each poller by a hash send it a notice of the new index, and it polls the sender once for that index. The answer holds the differences from the poller's state (DeltaHistory, 256 changes) or, when they are not all known, the whole state. A poller without a version of an instance's member table sends a digest of 64 buckets, and the answer holds only the members of buckets that differ. With notices the interval may grow: 4 ms for each poller, at most 12 s, so that a lost notice still leaves a change in force within 19 s. Pollers are remembered for 240 s.

--- a/daemons/flow_entry_daemon.h
+++ b/daemons/flow_entry_daemon.h
@@ -24,6 +24,7 @@
     void takeState(const cluster::ForwardingState&) override;
     void takeMember(const steering::MemberRecord&) override;
     void suspectMember(Endpoint agent) override;
+    steering::MemberDigest memberDigest() override { return m_steering.members().digest(); }
     void confirmMembers() override { m_poller.confirmMembers(); }
     void membersConfirmed(Time asked) override { m_steering.onMembersConfirmed(asked); }
     void contactLost() override;
--- a/libs/cluster/cluster_measurement.cc
+++ b/libs/cluster/cluster_measurement.cc
@@ -131,6 +131,7 @@
             : Node(system, index)
             , m_poller(std::move(options), system.clock, system.random, static_cast<PollerOutput&>(*this))
             , m_isAgent(isAgent)
+            , m_members(system.clock)
         {
             m_record.agent = endpointOf(index);
             m_record.service = steering::serviceKey("service-" + std::to_string(index % routeCount));
@@ -154,6 +155,8 @@
         void contactLost() override { }
         void contactRenewed() override { }
         void takeState(const ForwardingState&) override { m_system.inForce.push_back(m_system.clock.now()); }
+        void takeMember(const steering::MemberRecord& record) override { m_members.update(record); }
+        steering::MemberDigest memberDigest() override { return m_members.digest(); }
         void takeRegistration(uint64_t incarnation, uint64_t) override { m_registered = incarnation; }
         bool isWaiting() override { return m_isAgent && m_registered != m_record.incarnation; }
         std::vector<steering::MemberRecord> ownRecords() override
@@ -163,6 +166,7 @@
 
         Poller m_poller;
         const bool m_isAgent;
+        steering::Members m_members;
         steering::MemberRecord m_record;
         uint64_t m_registered = 0;
     };
@@ -317,7 +321,7 @@
     void measure(size_t processes)
     {
         System system(processes);
-        constexpr Duration length = 60s;
+        constexpr Duration length = 300s;
         std::vector<Usage> before = usageOf(system);
         system.run(length);
         std::vector<Usage> after = usageOf(system);
--- a/libs/cluster/cluster_test.cc
+++ b/libs/cluster/cluster_test.cc
@@ -189,7 +189,7 @@
     MemberRegister members { { member.agent, member } };
     auto row = [&] {
         PollReply reply;
-        table.answer({}, reply);
+        table.answer({}, steering::MemberDigest(steering::digestBuckets), reply);
         REQUIRE(reply.members.size() == 1);
         return reply.members[0];
     };
@@ -314,7 +314,7 @@
         size_t most;
     };
     for (const Case& test :
-        { Case { 40, 245, 252 }, Case { 303, 95, 101 }, Case { 3020, 9, 11 }, Case { 50000, 9, 11 } }) {
+        { Case { 40, 245, 252 }, Case { 250, 95, 101 }, Case { 3020, 7, 10 }, Case { 50000, 7, 10 } }) {
         ManualClock clock;
         Random random(1);
         Output output;
@@ -495,17 +495,18 @@
     for (uint32_t i = 0; i < 10; ++i)
         table.update(memberNumber(i), 0ms);
     PollReply all;
-    table.answer({}, all);
+    table.answer({}, steering::MemberDigest(steering::digestBuckets), all);
     CHECK(all.members.size() == 10);
     steering::MemberRecord changed = memberNumber(3);
     changed.sequence = 2;
     table.update(changed, 0ms);
     CHECK(table.incarnationOf(changed.agent) == 10);
     PollReply delta;
-    table.answer(all.table, delta);
+    table.answer(all.table, {}, delta);
     CHECK(delta.members.size() == 1);
     PollReply other;
-    table.answer({ 78, 99 }, other); // a version of another instance is worth nothing
+    table.answer({ 78, 99 }, steering::MemberDigest(steering::digestBuckets),
+        other); // a version of another instance is worth nothing
     CHECK(other.members.size() == 10);
     steering::MemberRecord old = memberNumber(3);
     old.incarnation = 9;
@@ -517,12 +518,12 @@
     for (uint32_t i = 0; i < 4; ++i)
         table.update(i == 3 ? changed : memberNumber(i), 0ms);
     PollReply cutOff;
-    table.answer(delta.table, cutOff);
+    table.answer(delta.table, {}, cutOff);
     CHECK(cutOff.silent.empty());
     for (uint32_t i = 4; i < 9; ++i)
         table.update(memberNumber(i), 0ms);
     PollReply judged;
-    table.answer(delta.table, judged);
+    table.answer(delta.table, {}, judged);
     CHECK(judged.silent == std::vector<Endpoint> { memberNumber(9).agent });
     clock.advance(91s);
     table.expire();
@@ -537,13 +538,57 @@
     for (uint32_t i = 0; i < members; ++i)
         table.update(memberNumber(i), 0ms);
     PollReply first;
-    table.answer({}, first);
+    CHECK_FALSE(table.answer({ 1, 0 }, {}, first));
     CHECK(first.members.size() == maxReplyMembers);
     PollReply second;
-    table.answer(first.table, second);
+    CHECK(table.answer(first.table, {}, second));
     CHECK(second.members.size() == 100);
 }
 
+// Guards against entries that fetch the whole table from each control instance and after each restart of one: at the
+// target size that alone is above the budget of control traffic.
+TEST_CASE("member table: a digest brings only the members that differ", "[table]")
+{
+    ManualClock clock;
+    MemberTable table(clock, 1);
+    steering::Members known(clock);
+    const uint32_t members = maxReplyMembers + 100;
+    for (uint32_t i = 0; i < members; ++i)
+        table.update(memberNumber(i), 0ms);
+    PollReply unknown;
+    CHECK_FALSE(table.answer({ 99, 5 }, {}, unknown)); // of another owner
+    CHECK(unknown.wantsDigest);
+    CHECK(unknown.members.empty());
+
+    int polls = 0;
+    for (bool complete = false; !complete; ++polls) {
+        REQUIRE(polls < 5);
+        PollReply reply;
+        complete = table.answer({}, known.digest(), reply);
+        CHECK(reply.table.owner == (complete ? 1 : 0));
+        for (const steering::MemberRecord& record : reply.members)
+            known.update(record);
+    }
+    CHECK(known.size() == members);
+    PollReply equal;
+    CHECK(table.answer({}, known.digest(), equal));
+    CHECK(equal.members.empty());
+
+    // Every change of a record shows.
+    steering::MemberRecord changed = memberNumber(7);
+    SECTION("sequence") { ++changed.sequence; }
+    SECTION("incarnation") { ++changed.incarnation; }
+    SECTION("new member") { changed = memberNumber(members + 1); }
+    table.update(changed, 0ms);
+    PollReply differing;
+    CHECK(table.answer({}, known.digest(), differing));
+    CHECK(differing.members.size() < 40);
+    CHECK(std::any_of(differing.members.begin(), differing.members.end(), [&](const steering::MemberRecord& record) {
+        return record.agent == changed.agent && record.sequence == changed.sequence
+            && record.incarnation == changed.incarnation;
+    }));
+}
+
 namespace {
 
 class FakePollerOutput final : public PollerOutput {
--- a/libs/cluster/control_core.cc
+++ b/libs/cluster/control_core.cc
@@ -1,6 +1,7 @@
 #include "cluster/control_core.h"
 
 #include "cluster/codec.h"
+#include "core/hash.h"
 #include "raft/codec.h"
 
 #include <algorithm>
@@ -14,8 +15,9 @@
     constexpr RequestNumber ownRequests = RequestNumber(1) << 63;
     // Polls beyond this number are answered without a confirmation.
     constexpr size_t maxConfirmations = 512;
+    constexpr size_t notifiersOfPoller = 2;
     // Longer than the time in which the slowest poller polls every instance once.
-    constexpr Duration pollerRetention = std::chrono::seconds(120);
+    constexpr Duration pollerRetention = std::chrono::seconds(240);
 
 } // namespace
 
@@ -76,6 +78,7 @@
     askForConfirmation();
     answerConfirmed();
     tendRegister();
+    notifyPollers();
     Time now = m_clock.now();
     if (now >= m_nextGroupLook) {
         m_nextGroupLook = now + m_options.groupInterval;
@@ -387,6 +390,44 @@
         answerPoll(sender, poll, false);
 }
 
+// Keeps the encoded state and the history of changes up to date.
+void ControlCore::followState()
+{
+    if (m_forwardingIndex == m_state.index())
+        return;
+    m_forwardingIndex = m_state.index();
+    ForwardingState state = m_state.forwarding();
+    m_history.add(state);
+    m_forwarding = encodeMessage(state);
+}
+
+// Tells pollers of a new state, so that their intervals may be long. Each poller has two instances that tell it: by a
+// hash, so that the instances share the work and the loss of one delays nobody.
+void ControlCore::notifyPollers()
+{
+    if (m_notified == m_state.index() || m_state.routes().version() == 0)
+        return;
+    bool isFirst = m_notified == 0; // what was replayed at the start is no news
+    m_notified = m_state.index();
+    if (isFirst)
+        return;
+    followState();
+    Envelope notice { MessageKind::StateNotice, encodeMessage(StateNotice { m_state.index() }) };
+    for (const auto& [poller, heard] : m_pollers) {
+        if (notifies(poller))
+            m_output.sendMessage(poller, notice);
+    }
+}
+
+bool ControlCore::notifies(Endpoint poller) const
+{
+    uint64_t own = mixHash(poller.key(), m_raft.self().value());
+    size_t before = 0;
+    for (const auto& [id, address] : m_state.instances())
+        before += id != m_raft.self() && mixHash(poller.key(), id.value()) > own ? 1 : 0;
+    return before < notifiersOfPoller;
+}
+
 void ControlCore::forgetPollers()
 {
     for (auto i = m_pollers.begin(); i != m_pollers.end();)
@@ -407,13 +448,12 @@
     reply.pollers = static_cast<uint32_t>(m_pollers.size());
     reply.stateIndex = m_state.index();
     if (poll.stateIndex < m_state.index() && m_state.routes().version() != 0) {
-        if (m_forwardingIndex != m_state.index()) {
-            m_forwardingIndex = m_state.index();
-            m_forwarding = encodeMessage(m_state.forwarding());
-        }
-        reply.state = m_forwarding;
+        followState();
+        reply.deltas = m_history.since(poll.stateIndex);
+        if (reply.deltas.empty())
+            reply.state = m_forwarding;
     }
-    bool complete = poll.wantsMembers && m_members.answer(poll.table, reply);
+    bool complete = poll.wantsMembers && m_members.answer(poll.table, poll.digest, reply);
     if (confirmed && complete)
         reply.confirmation = poll.confirmation;
     reply.controls = knownControls();
--- a/libs/cluster/control_core.h
+++ b/libs/cluster/control_core.h
@@ -17,6 +17,7 @@
 #include "cluster/member_table.h"
 #include "cluster/messages.h"
 #include "cluster/state.h"
+#include "cluster/state_delta.h"
 #include "core/random.h"
 #include "raft/raft.h"
 
@@ -48,6 +49,9 @@
 // because the seeds may be exchanged before an instance has registered.
 StoreBatch foundingBatch(const std::map<InstanceId, InstanceAddress>& founders);
 
+// Changes that a process may be behind without fetching the whole state.
+constexpr size_t maxDeltas = 256;
+
 using RequestNumber = uint64_t;
 
 enum class AnswerKind : uint8_t { Done, Configuration, Redirect, Unavailable };
@@ -146,6 +150,9 @@
     void onHello(Hello);
     void onPoll(Endpoint sender, const Poll&);
     void answerPoll(Endpoint sender, const Poll&, bool confirmed);
+    void followState();
+    void notifyPollers();
+    bool notifies(Endpoint poller) const;
     void forgetPollers();
     void tendRegister();
     void proposeChanges(RegisterChanges);
@@ -184,6 +191,8 @@
     Time m_nextGroupLook;
     std::string m_forwarding; // encoded ForwardingState of m_forwardingIndex
     LogIndex m_forwardingIndex = 0;
+    DeltaHistory m_history { maxDeltas };
+    LogIndex m_notified = 0; // state index that pollers were told of last
 };
 
 } // namespace cicadaward::cluster
--- a/libs/cluster/group_simulation.cc
+++ b/libs/cluster/group_simulation.cc
@@ -380,6 +380,7 @@
         return;
     Poll poll;
     poll.wantsMembers = true;
+    poll.digest.resize(steering::digestBuckets); // it has no members
     poll.records = { record };
     poll.confirmation = ++m_lastConfirmation;
     std::vector<steering::MemberRecord>& registered = m_confirmations[m_lastConfirmation];
--- a/libs/cluster/member_table.cc
+++ b/libs/cluster/member_table.cc
@@ -97,15 +97,27 @@
     return changes;
 }
 
-bool MemberTable::answer(TableVersion known, PollReply& reply) const
+bool MemberTable::answer(TableVersion known, const steering::MemberDigest& digest, PollReply& reply) const
+{
+    bool complete = false;
+    if (known.owner == m_version.owner)
+        complete = addChanges(known.number, reply);
+    else if (digest.size() == steering::digestBuckets)
+        complete = addDifferences(digest, reply);
+    else
+        reply.wantsDigest = true;
+    addSilent(reply);
+    return complete;
+}
+
+// A cut-off reply carries the oldest changes and their last number, so the next poll continues there.
+bool MemberTable::addChanges(uint64_t since, PollReply& reply) const
 {
-    uint64_t since = known.owner == m_version.owner ? known.number : 0;
     std::vector<const Row*> changed;
     for (const auto& [key, row] : m_rows) {
         if (row.number > since)
             changed.push_back(&row);
     }
-    // A cut-off reply carries the oldest changes and their last number, so the next poll continues there.
     std::sort(changed.begin(), changed.end(), [](const Row* a, const Row* b) { return a->number < b->number; });
     reply.table = m_version;
     bool complete = changed.size() <= maxReplyMembers;
@@ -115,7 +127,29 @@
     }
     for (const Row* row : changed)
         reply.members.push_back(row->record);
+    return complete;
+}
 
+// A cut-off reply names no version, so the next poll carries a digest again, of which fewer buckets differ.
+bool MemberTable::addDifferences(const steering::MemberDigest& digest, PollReply& reply) const
+{
+    steering::MemberDigest own(steering::digestBuckets);
+    for (const auto& [key, row] : m_rows)
+        steering::addToDigest(own, row.record);
+    for (const auto& [key, row] : m_rows) {
+        size_t bucket = steering::digestBucketOf(row.record.agent);
+        if (own[bucket] == digest[bucket])
+            continue;
+        if (reply.members.size() == maxReplyMembers)
+            return false;
+        reply.members.push_back(row.record);
+    }
+    reply.table = m_version;
+    return true;
+}
+
+void MemberTable::addSilent(PollReply& reply) const
+{
     size_t heard = 0;
     for (const auto& [key, row] : m_rows) {
         if (m_clock.now() - row.heard <= std::max(announceSilence, 2 * row.period))
@@ -126,7 +160,6 @@
     // An instance that hears few of the agents is itself cut off and cannot judge them.
     if (2 * heard < m_rows.size())
         reply.silent.clear();
-    return complete;
 }
 
 void MemberTable::expire()
--- a/libs/cluster/member_table.h
+++ b/libs/cluster/member_table.h
@@ -43,8 +43,9 @@
     // The register has dropped this start: departed, or silent for long (state Gone).
     void remove(const steering::MemberRecord&);
     RegisterChanges registerChanges(const MemberRegister&) const;
-    // Fills table, members and silent of the reply for a poller that has `known`. False when members are left out.
-    bool answer(TableVersion known, PollReply&) const;
+    // Fills table, members and silent of the reply for a poller that has `known`, or members of this digest. False when
+    // members are left out.
+    bool answer(TableVersion known, const steering::MemberDigest&, PollReply&) const;
     // Drops members that have been silent for long and are not registered.
     void expire();
     TableVersion version() const { return m_version; }
@@ -60,6 +61,9 @@
         bool registered = false;
     };
     void change(Row&, const steering::MemberRecord&);
+    bool addChanges(uint64_t since, PollReply&) const;
+    bool addDifferences(const steering::MemberDigest&, PollReply&) const;
+    void addSilent(PollReply&) const;
 
     const Clock& m_clock;
     TableVersion m_version;
--- a/libs/cluster/poller.cc
+++ b/libs/cluster/poller.cc
@@ -54,11 +54,13 @@
 void Poller::poll(Endpoint control, uint64_t confirmation)
 {
     Poll poll;
-    poll.stateIndex = m_stateIndex;
+    poll.stateIndex = m_state.index;
     poll.wantsMembers = m_options.wantsMembers;
     auto found = m_tables.find(control);
     if (found != m_tables.end())
         poll.table = found->second;
+    else if (m_options.wantsMembers)
+        poll.digest = m_output.memberDigest();
     poll.records = m_output.ownRecords();
     poll.confirmation = confirmation;
     poll.period = std::chrono::duration_cast<std::chrono::milliseconds>(interval() * turnsOfAll);
@@ -87,7 +89,7 @@
 {
     bool known
         = reply.confirmation <= m_confirmation && reply.confirmation + m_confirmationTimes.size() > m_confirmation;
-    if (reply.confirmation != 0 && known && reply.stateIndex <= m_stateIndex)
+    if (reply.confirmation != 0 && known && reply.stateIndex <= m_state.index)
         m_output.membersConfirmed(m_confirmationTimes[reply.confirmation % m_confirmationTimes.size()]);
 }
 
@@ -124,7 +126,7 @@
     if (m_controls.empty() || now < m_nextPoll)
         return;
     poll(nextControl(), 0);
-    if (m_stateIndex != 0 && !m_output.isWaiting()) {
+    if (m_state.index != 0 && !m_output.isWaiting()) {
         m_waitingInterval = m_options.firstInterval;
         m_nextPoll = now + interval();
         return;
@@ -136,9 +138,13 @@
 bool Poller::onMessage(Endpoint sender, const Envelope& envelope)
 {
     PollReply reply;
-    if (envelope.kind != MessageKind::PollReply || !decodeMessage(envelope.body, reply))
+    StateNotice notice;
+    if (envelope.kind == MessageKind::PollReply && decodeMessage(envelope.body, reply))
+        onReply(sender, reply);
+    else if (envelope.kind == MessageKind::StateNotice && decodeMessage(envelope.body, notice))
+        onNotice(sender, notice);
+    else
         return false;
-    onReply(sender, reply);
     return true;
 }
 
@@ -161,21 +167,47 @@
     if (reply.leader.port != 0)
         m_output.takeLeader(reply.leader, reply.term);
     learn(reply.stateIndex, reply.controls);
-    if (reply.stateIndex > m_stateIndex && !reply.state.empty()) {
-        ForwardingState state;
-        if (decodeMessage(reply.state, state) && state.index > m_stateIndex) {
-            m_stateIndex = state.index;
-            m_output.takeState(state);
-        }
-    }
+    takeState(reply);
     if (!m_options.wantsMembers)
         return;
-    m_tables[sender] = reply.table;
+    if (reply.table.owner != 0)
+        m_tables[sender] = reply.table;
+    else
+        m_tables.erase(sender);
     for (const steering::MemberRecord& record : reply.members)
         m_output.takeMember(record);
     for (Endpoint agent : reply.silent)
         m_output.suspectMember(agent);
     takeConfirmation(reply);
+    if (reply.wantsDigest)
+        poll(sender, 0);
+}
+
+void Poller::takeState(const PollReply& reply)
+{
+    ForwardingState state;
+    if (!reply.deltas.empty()) {
+        state = m_state;
+        for (const ForwardingDelta& delta : reply.deltas) {
+            if (!applyDelta(delta, state))
+                return; // a reply to an earlier poll
+        }
+    } else if (reply.state.empty() || !decodeMessage(reply.state, state)) {
+        return;
+    }
+    if (state.index <= m_state.index)
+        return;
+    m_state = std::move(state);
+    m_output.takeState(m_state);
+}
+
+// One poll for each index: what it brings may have been asked for already.
+void Poller::onNotice(Endpoint sender, const StateNotice& notice)
+{
+    if (notice.stateIndex <= std::max(m_state.index, m_noticed))
+        return;
+    m_noticed = notice.stateIndex;
+    poll(sender, 0);
 }
 
 // The seeds stay in the list: they are the way back when all instances have been replaced meanwhile.
--- a/libs/cluster/poller.h
+++ b/libs/cluster/poller.h
@@ -25,8 +25,8 @@
     std::vector<Endpoint> seeds; // control datagram endpoints
     bool wantsMembers = false;
     Duration interval = std::chrono::milliseconds(400); // shortest time between two polls
-    Duration intervalPerPoller = std::chrono::microseconds(3300); // the interval is at least this for each poller
-    Duration longestInterval = std::chrono::seconds(10); // a configuration must be in force within 19 s
+    Duration intervalPerPoller = std::chrono::milliseconds(4); // the interval is at least this for each poller
+    Duration longestInterval = std::chrono::seconds(12); // a configuration must be in force within 19 s
     Duration firstInterval = std::chrono::milliseconds(30); // until there is a state, or while isWaiting(); it doubles
     Duration waitingInterval = std::chrono::milliseconds(60); // up to this
     Duration confirmationInterval = std::chrono::milliseconds(50); // shortest time between two confirmations
@@ -45,6 +45,7 @@
     virtual void takeState(const ForwardingState&) { }
     virtual void takeMember(const steering::MemberRecord&) { }
     virtual void suspectMember(Endpoint) { }
+    virtual steering::MemberDigest memberDigest() { return {}; }
     // The own record is known under this incarnation.
     virtual void noteIncarnation(uint64_t) { }
     // The register has this start of the own target.
@@ -73,7 +74,7 @@
     // Control instances that were learned in another way. They count until a reply with a state names others.
     void learn(const std::vector<Endpoint>& controls) { learn(0, controls); }
 
-    LogIndex stateIndex() const { return m_stateIndex; }
+    LogIndex stateIndex() const { return m_state.index; }
     bool inContact() const { return m_inContact; }
     const std::vector<Endpoint>& controls() const { return m_controls; }
 
@@ -83,7 +84,9 @@
     void sortControls();
     bool comesBefore(Endpoint, Endpoint) const;
     Duration interval() const;
+    void takeState(const PollReply&);
     void takeConfirmation(const PollReply&);
+    void onNotice(Endpoint sender, const StateNotice&);
     void learn(LogIndex index, const std::vector<Endpoint>& controls);
 
     const PollerOptions m_options;
@@ -102,7 +105,8 @@
     Time m_nextPoll;
     Time m_lastReply;
     bool m_inContact = false;
-    LogIndex m_stateIndex = 0;
+    ForwardingState m_state;
+    LogIndex m_noticed = 0; // newest index that a notice has named
     uint64_t m_confirmation = 0; // number of the last one that was asked for
     std::array<Time, 16> m_confirmationTimes {}; // by number; replies may be several intervals late
     Time m_nextConfirmation;
--- /dev/null
+++ b/libs/cluster/state_delta.cc
@@ -0,0 +1,104 @@
+#include "cluster/state_delta.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <algorithm>
+
+namespace cicadaward::cluster {
+
+namespace {
+
+    bool isSame(const steering::Route& a, const steering::Route& b)
+    {
+        return a.name == b.name && a.address == b.address && a.services == b.services && a.former == b.former
+            && a.objective == b.objective && a.timeout == b.timeout && a.priority == b.priority;
+    }
+    bool isSame(const steering::ServicePolicy& a, const steering::ServicePolicy& b)
+    {
+        return a.key == b.key && a.name == b.name && a.warmUp == b.warmUp && a.warmUpRate == b.warmUpRate
+            && a.maxFlows == b.maxFlows;
+    }
+    Endpoint keyOf(const steering::Route& route) { return route.address; }
+    steering::ServiceKey keyOf(const steering::ServicePolicy& policy) { return policy.key; }
+
+    template <typename Item>
+    void compare(const std::vector<Item>& from, const std::vector<Item>& to, std::vector<Item>& changed,
+        std::vector<decltype(keyOf(std::declval<Item>()))>& removed)
+    {
+        absl::flat_hash_map<decltype(keyOf(std::declval<Item>())), const Item*> before;
+        for (const Item& item : from)
+            before[keyOf(item)] = &item;
+        for (const Item& item : to) {
+            auto found = before.find(keyOf(item));
+            if (found == before.end() || !isSame(*found->second, item))
+                changed.push_back(item);
+            if (found != before.end())
+                before.erase(found);
+        }
+        for (const auto& [key, item] : before)
+            removed.push_back(key);
+    }
+
+    template <typename Item, typename Key>
+    void patch(std::vector<Item>& items, const std::vector<Item>& changed, const std::vector<Key>& removed)
+    {
+        absl::flat_hash_map<Key, size_t> positions;
+        for (size_t i = 0; i < items.size(); ++i)
+            positions[keyOf(items[i])] = i;
+        for (const Item& item : changed) {
+            auto found = positions.find(keyOf(item));
+            if (found == positions.end())
+                items.push_back(item);
+            else
+                items[found->second] = item;
+        }
+        auto isRemoved
+            = [&](const Item& item) { return std::find(removed.begin(), removed.end(), keyOf(item)) != removed.end(); };
+        if (!removed.empty())
+            items.erase(std::remove_if(items.begin(), items.end(), isRemoved), items.end());
+    }
+
+} // namespace
+
+ForwardingDelta deltaBetween(const ForwardingState& from, const ForwardingState& to)
+{
+    ForwardingDelta delta;
+    delta.from = from.index;
+    delta.index = to.index;
+    delta.version = to.configuration.version;
+    delta.flowIdleLimit = to.configuration.flowIdleLimit;
+    delta.out = to.out;
+    compare(from.configuration.routes, to.configuration.routes, delta.routes, delta.removedRoutes);
+    compare(from.configuration.services, to.configuration.services, delta.services, delta.removedServices);
+    return delta;
+}
+
+bool applyDelta(const ForwardingDelta& delta, ForwardingState& state)
+{
+    if (delta.from != state.index)
+        return false;
+    state.index = delta.index;
+    state.out = delta.out;
+    state.configuration.version = delta.version;
+    state.configuration.flowIdleLimit = delta.flowIdleLimit;
+    patch(state.configuration.routes, delta.routes, delta.removedRoutes);
+    patch(state.configuration.services, delta.services, delta.removedServices);
+    return true;
+}
+
+void DeltaHistory::add(const ForwardingState& state)
+{
+    if (m_newest.index != 0)
+        m_deltas.push_back(deltaBetween(m_newest, state));
+    if (m_deltas.size() > m_limit)
+        m_deltas.erase(m_deltas.begin());
+    m_newest = state;
+}
+
+std::vector<ForwardingDelta> DeltaHistory::since(LogIndex index) const
+{
+    auto first = std::find_if(
+        m_deltas.begin(), m_deltas.end(), [&](const ForwardingDelta& delta) { return delta.from == index; });
+    return { first, m_deltas.end() };
+}
+
+} // namespace cicadaward::cluster
--- a/libs/steering/members.cc
+++ b/libs/steering/members.cc
@@ -29,6 +29,23 @@
     return "unknown";
 }
 
+size_t digestBucketOf(Endpoint agent) { return mixHash(agent.key(), digestBuckets) % digestBuckets; }
+
+void addToDigest(MemberDigest& digest, const MemberRecord& record)
+{
+    digest.resize(digestBuckets);
+    uint64_t hash = mixHash(mixHash(record.agent.key(), record.incarnation), record.sequence);
+    digest[digestBucketOf(record.agent)] ^= mixHash(hash, static_cast<uint64_t>(record.state));
+}
+
+MemberDigest Members::digest() const
+{
+    MemberDigest digest(digestBuckets);
+    for (const auto& [agent, entry] : m_members)
+        addToDigest(digest, entry.record);
+    return digest;
+}
+
 bool Members::update(const MemberRecord& record)
 {
     auto found = m_members.find(record.agent);
--- a/libs/steering/members.h
+++ b/libs/steering/members.h
@@ -52,6 +52,13 @@
     }
 };
 
+// Short form of a set of records: equal sets have equal digests, and a bucket that differs names the members to
+// compare.
+using MemberDigest = std::vector<uint64_t>; // digestBuckets hashes, or none
+constexpr size_t digestBuckets = 64;
+size_t digestBucketOf(Endpoint agent);
+void addToDigest(MemberDigest&, const MemberRecord&);
+
 // A member that left is remembered this long as a place where old flows may live; flows live at most 60 s by default.
 constexpr auto memberRetention = std::chrono::seconds(90);
 constexpr auto maxSuspicion = std::chrono::seconds(8);
@@ -73,6 +80,7 @@
     void expire();
 
     size_t size() const { return m_members.size(); }
+    MemberDigest digest() const;
     bool knowsService(ServiceKey) const;
     const MemberRecord* find(Endpoint agent) const;
 
