Let packets that come before the first state wait at the entry

Cause: after a loss of power of all machines the router has no ready entry and uses all of them.

Later ones are decided as before.

--- a/libs/steering/decisions.h
+++ b/libs/steering/decisions.h
@@ -10,7 +10,7 @@
 enum class Decision : uint8_t {
     Offered, // an entry chose the first member for a new flow
     Accepted, // an agent gave a new flow to its target
-    Waiting, // a request waits for a free slot of the target
+    Waiting, // a request waits for a free slot of the target, or a packet for the first state of the entry
     PassedOn, // an agent sent a packet to the next member
     Searched, // an entry asks members for a flow that it does not know
     Broadcast, // a search brought nothing: all members are asked at once
--- a/libs/steering/entry_steering.cc
+++ b/libs/steering/entry_steering.cc
@@ -28,6 +28,7 @@
     , m_observer(observer)
     , m_output(output)
     , m_members(clock)
+    , m_early(options.early, clock)
     , m_lastExpiry(clock.now())
 {
 }
@@ -45,10 +46,27 @@
         m_observer.decided(Decision::Malformed, {}, {});
         return;
     }
-    if (packet->syn)
-        onOpen(*packet, data, size);
+    if (!isReady() && m_early.add(data, size)) {
+        m_observer.decided(Decision::Waiting, packet->flow, { {}, "no state yet", m_routes.version() });
+        return;
+    }
+    steer(*packet, data, size);
+}
+
+void EntrySteering::steer(const FlowPacket& packet, const uint8_t* data, size_t size)
+{
+    if (packet.syn)
+        onOpen(packet, data, size);
     else
-        onData(*packet, data, size);
+        onData(packet, data, size);
+}
+
+void EntrySteering::steerEarlyPackets()
+{
+    for (const std::vector<uint8_t>& bytes : isReady() ? m_early.takeAll() : m_early.takeOverdue()) {
+        if (std::optional<FlowPacket> packet = m_format.decode(bytes.data(), bytes.size(), Direction::FromCaller))
+            steer(*packet, bytes.data(), bytes.size());
+    }
 }
 
 void EntrySteering::onOpen(const FlowPacket& packet, const uint8_t* data, size_t size)
@@ -335,6 +353,7 @@
 
 void EntrySteering::onTick()
 {
+    steerEarlyPackets();
     checkOffers();
     expireDenied();
     if (m_clock.now() - m_lastExpiry >= expiryInterval)
--- a/libs/steering/entry_steering.h
+++ b/libs/steering/entry_steering.h
@@ -7,7 +7,8 @@
 //     steering.onFrame(agent, data, size);
 //
 // The entry holds no state that correctness rests on: its cache of flow positions is a hint, and the target decides
-// whether it holds a flow. Memory: at most `cacheEntries` positions of about 80 bytes and `maxDenied` denied flows.
+// whether it holds a flow. Memory: at most `cacheEntries` positions of about 80 bytes, `maxDenied` denied flows and the
+// packets that came before the first state.
 //
 // A flow that all members deny is reset only when the member list is proved complete: a target gets no flow before the
 // members' register names it, so the list that the leader confirms after the denial, together with the routes of the
@@ -17,6 +18,7 @@
 
 #include "core/clock.h"
 #include "steering/decisions.h"
+#include "steering/early_packets.h"
 #include "steering/frame.h"
 #include "steering/members.h"
 #include "steering/route_table.h"
@@ -38,6 +40,7 @@
     Duration suspicion = std::chrono::seconds(1); // how long an agent that did not answer is asked last
     uint8_t strikes = 2; // unanswered offers in a row until an agent is suspected
     Duration closedRetention = std::chrono::seconds(4); // positions of flows that are being closed
+    EarlyPacketsOptions early;
 };
 
 class EntryOutput {
@@ -95,6 +98,8 @@
         Time sent;
     };
 
+    void steer(const FlowPacket&, const uint8_t* data, size_t size);
+    void steerEarlyPackets();
     void onOpen(const FlowPacket&, const uint8_t* data, size_t size);
     void onData(const FlowPacket&, const uint8_t* data, size_t size);
     void search(const FlowPacket&, Position&, Endpoint last, const uint8_t* data, size_t size);
@@ -119,6 +124,7 @@
     RouteTable m_routes;
     std::set<std::string> m_evacuated;
     Members m_members;
+    EarlyPackets m_early;
     absl::flat_hash_map<FlowId, Position> m_flows;
     std::deque<PendingOffer> m_offers; // oldest first
     std::deque<Denied> m_denied; // oldest first
