Serve metrics as text, with histograms of latencies, on a port of each role

The daemons of the fabric had counters alone, as JSON, and the deployment set no metrics address, so an operator could not see how long requests waited or how long orders and disk writes took.

Change: Histogram (Boost.Histogram with atomic counts, 13 bounds from 1 ms to 10 s) and MetricRegistry::text() in the format that Prometheus reads; DecisionObserver::took() reports flow.opened, flow.found, request.waited and request.answered; control instances measure order.answered and store.written; gauges are brought up to date when the metrics are fetched.

--- a/daemons/flow_agent_daemon.cc
+++ b/daemons/flow_agent_daemon.cc
@@ -52,7 +52,7 @@
           [this](Endpoint, uint8_t* data, size_t size) { m_steering.onTargetPacket(data, size); })
     , m_heartbeats(base.context, endpointSetting(settings, "listen.heartbeats"),
           [this](const HttpRequest& request, const HttpReply& reply) { onTargetCall(request, reply); })
-    , m_metrics(serveMetrics(base, settings))
+    , m_metrics(serveMetrics(base, settings, [this] { setGauges(); }))
 {
 }
 
@@ -103,6 +103,17 @@
     reply(200, "application/json", "{}");
 }
 
+void FlowAgentDaemon::setGauges()
+{
+    m_base.metrics.gauge("agent.flows").set(int64_t(m_steering.flows()));
+    m_base.metrics.gauge("agent.waiting-requests").set(int64_t(m_steering.waitingRequests()));
+    m_base.metrics.gauge("agent.load-percent").set(m_steering.load());
+    m_base.metrics.gauge("agent.registered").set(m_steering.isRegistered());
+    m_base.metrics.gauge("target.state").set(int64_t(m_steering.registration().state()));
+    m_base.metrics.gauge("state.index").set(int64_t(m_poller.stateIndex()));
+    m_base.metrics.gauge("control.in-contact").set(m_poller.inContact());
+}
+
 void FlowAgentDaemon::takeHeartbeat(const steering::Heartbeat& heartbeat)
 {
     steering::HeartbeatResult result = m_steering.onHeartbeat(heartbeat);
--- a/daemons/flow_agent_daemon.h
+++ b/daemons/flow_agent_daemon.h
@@ -29,6 +29,7 @@
     void contactLost() override;
     void contactRenewed() override;
     void onTick();
+    void setGauges();
     void onTargetCall(const HttpRequest&, const HttpReply&);
     void takeHeartbeat(const steering::Heartbeat&);
     // Announces the own record to all control instances when it has changed.
--- a/daemons/flow_control_daemon.cc
+++ b/daemons/flow_control_daemon.cc
@@ -52,10 +52,7 @@
     , m_bootstrap(settings.flag("control.bootstrap"))
     , m_disk(
           base.context, m_files, settings.path("data.folder"), StoreOptions(),
-          [this](uint64_t ticket) {
-              if (m_core)
-                  m_core->onPersisted(ticket);
-          },
+          [this](uint64_t ticket) { onWritten(ticket); },
           [this](const absl::Status& status) { onStoreFailure(status); })
     , m_peers(
           base, m_options.self.peer,
@@ -66,7 +63,9 @@
           [](Endpoint, uint8_t*, size_t) {})
     , m_operators(base.context, m_options.self.operators,
           [this](const HttpRequest& request, const HttpReply& reply) { onOperatorCall(request, reply); })
-    , m_metrics(serveMetrics(base, settings))
+    , m_metrics(serveMetrics(base, settings, [this] { setGauges(); }))
+    , m_orderTimes(base.metrics.histogram("order.answered"))
+    , m_diskTimes(base.metrics.histogram("store.written"))
     , m_exitTimer(base.context)
 {
 }
@@ -96,6 +95,7 @@
         m_base.log->write(EventId::StoreFailed, { { "reason", std::string(contents.status().message()) } });
         return false;
     }
+    m_writing.clear();
     StoreBatch founding;
     bool isFounder = contents->empty() && founderIdentity() != InstanceId();
     if (isFounder) {
@@ -138,6 +138,33 @@
     m_core->onTick();
 }
 
+void FlowControlDaemon::onWritten(uint64_t ticket)
+{
+    while (!m_writing.empty() && m_writing.front().first <= ticket) {
+        m_diskTimes.add(m_base.clock.now() - m_writing.front().second);
+        m_writing.pop_front();
+    }
+    if (m_core)
+        m_core->onPersisted(ticket);
+}
+
+void FlowControlDaemon::setGauges()
+{
+    m_base.metrics.gauge("store.works").set(m_core != nullptr);
+    m_base.metrics.gauge("store.writing").set(int64_t(m_writing.size()));
+    m_base.metrics.gauge("control.open-calls").set(int64_t(m_calls.size()));
+    if (!m_core)
+        return;
+    raft::RaftStatus status = m_core->status();
+    m_base.metrics.gauge("raft.term").set(int64_t(status.term.value()));
+    m_base.metrics.gauge("raft.leads").set(status.role == raft::RaftRole::Leader);
+    m_base.metrics.gauge("raft.commit").set(int64_t(status.commit));
+    m_base.metrics.gauge("state.index").set(int64_t(m_core->state().index()));
+    m_base.metrics.gauge("state.version").set(int64_t(m_core->state().routes().version()));
+    m_base.metrics.gauge("control.pollers").set(int64_t(m_core->pollers()));
+    m_base.metrics.gauge("control.members").set(int64_t(m_core->members()));
+}
+
 void FlowControlDaemon::stop()
 {
     m_stopping = true;
@@ -164,7 +191,7 @@
         return;
     }
     cluster::RequestNumber number = ++m_lastRequest;
-    m_calls[number] = { reply, target };
+    m_calls[number] = { reply, target, m_base.clock.now() };
     if (const auto* put = std::get_if<PutConfigurationCall>(&call))
         m_core->putConfiguration(number, put->configuration, cluster::compress(put->text));
     else if (const auto* set = std::get_if<SetDataCentreCall>(&call))
@@ -206,12 +233,17 @@
     m_base.log->write(EventId::OrderAnswered,
         { { "call", call.target }, { "status", status }, { "reason", answer.reason },
             { "version", m_core->state().routes().version() }, { "index", m_core->state().index() } });
+    m_orderTimes.add(m_base.clock.now() - call.received);
     call.reply(status, type, std::move(body));
 }
 
 void FlowControlDaemon::sendMessage(Endpoint to, const cluster::Envelope& envelope) { m_peers.send(to, envelope); }
 
-void FlowControlDaemon::persist(uint64_t ticket, const StoreBatch& batch) { m_disk.write(ticket, batch); }
+void FlowControlDaemon::persist(uint64_t ticket, const StoreBatch& batch)
+{
+    m_writing.emplace_back(ticket, m_base.clock.now());
+    m_disk.write(ticket, batch);
+}
 
 void FlowControlDaemon::happened(cluster::ControlEvent event, const std::string& subject, LogIndex index)
 {
--- a/daemons/flow_control_daemon.h
+++ b/daemons/flow_control_daemon.h
@@ -11,6 +11,7 @@
 #include "flow_daemon.h"
 #include "store/posix_file_system.h"
 
+#include <deque>
 #include <map>
 
 namespace cicadaward {
@@ -34,11 +35,14 @@
     void onStoreFailure(const absl::Status&);
     void onOperatorCall(const HttpRequest&, const HttpReply&);
     void onTick();
+    void onWritten(uint64_t ticket);
+    void setGauges();
     InstanceId founderIdentity() const;
 
     struct PendingCall {
         HttpReply reply;
         std::string target;
+        Time received;
     };
 
     FlowDaemonBase& m_base;
@@ -55,6 +59,9 @@
     PeerPort m_peers;
     HttpServer m_operators;
     std::unique_ptr<HttpServer> m_metrics;
+    Histogram& m_orderTimes;
+    Histogram& m_diskTimes; // from a batch's way to the disk to its durability
+    std::deque<std::pair<uint64_t, Time>> m_writing; // tickets in order; bounded as the writer's queue
     std::unique_ptr<Ticker> m_ticker;
     boost::asio::steady_timer m_exitTimer;
     std::map<cluster::RequestNumber, PendingCall> m_calls; // bounded by maxHttpSessions
--- a/daemons/flow_daemon.cc
+++ b/daemons/flow_daemon.cc
@@ -2,6 +2,7 @@
 
 #include "cluster/codec.h"
 
+#include <absl/strings/match.h>
 #include <boost/asio/post.hpp>
 #include <csignal>
 #include <iostream>
@@ -50,6 +51,8 @@
 {
     for (size_t i = 0; i < m_counters.size(); ++i)
         m_counters[i] = &metrics.counter(std::string("flow.") + decisionName(static_cast<steering::Decision>(i)));
+    for (size_t i = 0; i < m_latencies.size(); ++i)
+        m_latencies[i] = &metrics.histogram(steering::latencyName(static_cast<steering::Latency>(i)));
 }
 
 bool DecisionLog::mayWrite()
@@ -81,6 +84,11 @@
             { "reason", inputs.reason }, { "version", inputs.version }, { "load", inputs.load } });
 }
 
+void DecisionLog::took(steering::Latency latency, Duration duration)
+{
+    m_latencies[static_cast<size_t>(latency)]->add(duration);
+}
+
 FlowDaemonBase::FlowDaemonBase(const Settings& settings)
     : context(1)
     , random(entropy())
@@ -155,13 +163,19 @@
     reply(absl::IsNotFound(status) ? 404 : 400, "text/plain", findings + "\n");
 }
 
-std::unique_ptr<HttpServer> serveMetrics(FlowDaemonBase& base, const Settings& settings)
+std::unique_ptr<HttpServer> serveMetrics(FlowDaemonBase& base, const Settings& settings, std::function<void()> refresh)
 {
     Endpoint listen = endpointSetting(settings, "metrics.listen");
     if (listen.port == 0)
         return nullptr;
     auto server = std::make_unique<HttpServer>(base.context, listen,
-        [&base](const HttpRequest&, const HttpReply& reply) { reply(200, "application/json", base.metrics.json()); });
+        [&base, refresh = std::move(refresh)](const HttpRequest& request, const HttpReply& reply) {
+            refresh();
+            if (absl::EndsWith(std::string(request.target()), ".json"))
+                reply(200, "application/json", base.metrics.json());
+            else
+                reply(200, "text/plain; version=0.0.4", base.metrics.text());
+        });
     if (!server->status().ok())
         base.log->write(EventId::ListenFailed, { { "reason", std::string(server->status().message()) } });
     return server;
--- a/daemons/flow_daemon.h
+++ b/daemons/flow_daemon.h
@@ -29,12 +29,13 @@
 // The datagram endpoints of the seeds: their addresses with the port that all control instances use.
 std::vector<Endpoint> controlSeeds(const Settings&);
 
-// Counts every decision and logs at most a number of them a second. One line each, written by the loop's thread; the
-// limit bounds the time that a slow reader of the log can take.
+// Counts every decision, keeps the latencies as histograms and logs at most a number of them a second. One line each,
+// written by the loop's thread; the limit bounds the time that a slow reader of the log can take.
 class DecisionLog final : public steering::DecisionObserver {
 public:
     DecisionLog(const Clock&, EventLog&, MetricRegistry&, uint32_t linesPerSecond);
     void decided(steering::Decision, const steering::FlowId&, const steering::DecisionInputs&) override;
+    void took(steering::Latency, Duration) override;
 
 private:
     bool mayWrite();
@@ -43,6 +44,7 @@
     EventLog& m_log;
     const uint32_t m_linesPerSecond;
     std::array<Counter*, static_cast<size_t>(steering::Decision::Count)> m_counters {};
+    std::array<Histogram*, static_cast<size_t>(steering::Latency::Count)> m_latencies {};
     Time m_second;
     uint32_t m_lines = 0;
     uint64_t m_suppressed = 0;
@@ -99,8 +101,9 @@
 // Answers a call that the adapter could not translate: 404 when there is no such call, else 400 with all findings.
 void refuseCall(EventLog&, EventId, const std::string& call, const absl::Status&, const HttpReply&);
 
-// Serves the metrics as JSON on metrics.listen, if that is set.
-std::unique_ptr<HttpServer> serveMetrics(FlowDaemonBase&, const Settings&);
+// Serves the metrics on metrics.listen, if that is set: as JSON on paths that end in ".json", as text on all others.
+// `refresh` brings the gauges up to date before each answer.
+std::unique_ptr<HttpServer> serveMetrics(FlowDaemonBase&, const Settings&, std::function<void()> refresh);
 
 // Runs the loop; SIGTERM and SIGINT call `stop`, SIGHUP is logged. Returns when the loop has ended.
 void runUntilStopped(FlowDaemonBase&, const std::function<void()>& stop);
--- a/daemons/flow_entry_daemon.cc
+++ b/daemons/flow_entry_daemon.cc
@@ -54,7 +54,7 @@
           [this](Endpoint, uint8_t* data, size_t size) { m_steering.onCallerPacket(data, size); })
     , m_readiness(base.context, endpointSetting(settings, "listen.ready"),
           [this](const HttpRequest& request, const HttpReply& reply) { onReadinessCall(request, reply); })
-    , m_metrics(serveMetrics(base, settings))
+    , m_metrics(serveMetrics(base, settings, [this] { setGauges(); }))
     , m_exitTimer(base.context)
 {
 }
@@ -84,6 +84,17 @@
     m_poller.onTick();
 }
 
+void FlowEntryDaemon::setGauges()
+{
+    m_base.metrics.gauge("entry.ready").set(isReady());
+    m_base.metrics.gauge("entry.cached-flows").set(int64_t(m_steering.cachedFlows()));
+    m_base.metrics.gauge("entry.early-packets").set(int64_t(m_steering.earlyPackets()));
+    m_base.metrics.gauge("entry.members").set(int64_t(m_steering.members().size()));
+    m_base.metrics.gauge("state.index").set(int64_t(m_poller.stateIndex()));
+    m_base.metrics.gauge("state.version").set(int64_t(m_steering.routes().version()));
+    m_base.metrics.gauge("control.in-contact").set(m_poller.inContact());
+}
+
 void FlowEntryDaemon::onReadinessCall(const HttpRequest& request, const HttpReply& reply)
 {
     std::string path(request.target());
--- a/daemons/flow_entry_daemon.h
+++ b/daemons/flow_entry_daemon.h
@@ -30,6 +30,7 @@
     void contactLost() override;
     void contactRenewed() override;
     void onTick();
+    void setGauges();
     void onReadinessCall(const HttpRequest&, const HttpReply&);
     bool isReady() const { return !m_stopping && m_steering.isReady(); }
 
--- a/daemons/flow_relay_daemon.cc
+++ b/daemons/flow_relay_daemon.cc
@@ -18,7 +18,7 @@
           [](Endpoint, uint8_t*, size_t) {})
     , m_operators(base.context, endpointSetting(settings, "listen.operators"),
           [this](const HttpRequest& request, const HttpReply& reply) { onOperatorCall(request, reply); })
-    , m_metrics(serveMetrics(base, settings))
+    , m_metrics(serveMetrics(base, settings, [] {}))
 {
 }
 
--- a/libs/cluster/control_core.h
+++ b/libs/cluster/control_core.h
@@ -104,6 +104,7 @@
     raft::RaftStatus status() const { return m_raft.status(); }
     const State& state() const { return m_state; }
     size_t members() const { return m_members.size(); }
+    size_t pollers() const { return m_pollers.size(); }
 
 private:
     struct Order {
--- a/libs/observe/metrics.cc
+++ b/libs/observe/metrics.cc
@@ -8,8 +8,14 @@
 #include <boost/accumulators/statistics/mean.hpp>
 #include <boost/accumulators/statistics/min.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
+#include <boost/histogram/accumulators/thread_safe.hpp>
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
 #include <cmath>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace cicadaward {
 namespace {
@@ -25,8 +31,68 @@
         accumulators::stats<accumulators::tag::mean, accumulators::tag::min, accumulators::tag::max,
             accumulators::tag::extended_p_square>>;
 
+    // Seconds. A latency objective between two bounds is judged to within a factor of two or two and a half.
+    constexpr std::array<double, 13> histogramBounds { 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5,
+        10 };
+
+    using ThreadSafeCount = boost::histogram::accumulators::thread_safe<uint64_t>;
+
+    auto makeCounts()
+    {
+        // Lower bounds are part of a bin, but a bucket includes its upper bound: the next value above each starts one.
+        std::vector<double> edges { 0 };
+        for (double bound : histogramBounds)
+            edges.push_back(std::nextafter(bound, 2 * bound));
+        return boost::histogram::make_histogram_with(
+            boost::histogram::dense_storage<ThreadSafeCount>(), boost::histogram::axis::variable<double>(edges));
+    }
+
+    std::string textName(const std::string& name)
+    {
+        std::string result = "cicadaward_";
+        for (char c : name)
+            result += std::isalnum(static_cast<unsigned char>(c)) ? c : '_';
+        return result;
+    }
+
 } // namespace
 
+struct Histogram::State {
+    decltype(makeCounts()) counts = makeCounts();
+    std::atomic<uint64_t> sumNanoseconds { 0 };
+};
+
+Histogram::Histogram()
+    : m_state(std::make_unique<State>())
+{
+}
+
+Histogram::~Histogram() = default;
+
+void Histogram::add(std::chrono::nanoseconds duration)
+{
+    duration = std::max(duration, std::chrono::nanoseconds::zero());
+    m_state->counts(std::chrono::duration<double>(duration).count());
+    m_state->sumNanoseconds.fetch_add(static_cast<uint64_t>(duration.count()), std::memory_order_relaxed);
+}
+
+std::vector<Histogram::Bucket> Histogram::buckets() const
+{
+    std::vector<Bucket> result;
+    uint64_t count = 0;
+    for (size_t i = 0; i <= histogramBounds.size(); ++i) {
+        bool isLast = i == histogramBounds.size();
+        count += m_state->counts.at(static_cast<int>(i)).load();
+        result.push_back({ isLast ? std::numeric_limits<double>::infinity() : histogramBounds[i], count });
+    }
+    return result;
+}
+
+double Histogram::sumSeconds() const
+{
+    return static_cast<double>(m_state->sumNanoseconds.load(std::memory_order_relaxed)) * 1e-9;
+}
+
 struct Quantiles::State {
     Accumulator accumulator { accumulators::extended_p_square_probabilities = probabilities };
     std::array<double, markerCount> first {};
@@ -89,11 +155,52 @@
     return m_quantiles[name];
 }
 
+Histogram& MetricRegistry::histogram(const std::string& name)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_histograms[name];
+}
+
+std::string MetricRegistry::text() const
+{
+    std::ostringstream out;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const auto& [name, metric] : m_counters) {
+        std::string full = textName(name) + "_total";
+        out << "# TYPE " << full << " counter\n" << full << ' ' << metric.value() << '\n';
+    }
+    for (const auto& [name, metric] : m_gauges)
+        out << "# TYPE " << textName(name) << " gauge\n" << textName(name) << ' ' << metric.value() << '\n';
+    for (const auto& [name, metric] : m_quantiles) {
+        const Quantiles::Summary summary = metric.summary();
+        std::string full = textName(name);
+        out << "# TYPE " << full << " summary\n";
+        out << full << "{quantile=\"0.5\"} " << summary.p50 << '\n';
+        out << full << "{quantile=\"0.9\"} " << summary.p90 << '\n';
+        out << full << "{quantile=\"0.99\"} " << summary.p99 << '\n';
+        out << full << "_sum " << summary.mean * static_cast<double>(summary.count) << '\n';
+        out << full << "_count " << summary.count << '\n';
+    }
+    for (const auto& [name, metric] : m_histograms) {
+        std::string full = textName(name) + "_seconds";
+        out << "# TYPE " << full << " histogram\n";
+        std::vector<Histogram::Bucket> buckets = metric.buckets();
+        for (const Histogram::Bucket& bucket : buckets) {
+            out << full << "_bucket{le=\"";
+            std::isinf(bucket.upperSeconds) ? out << "+Inf" : out << bucket.upperSeconds;
+            out << "\"} " << bucket.count << '\n';
+        }
+        out << full << "_sum " << metric.sumSeconds() << '\n' << full << "_count " << buckets.back().count << '\n';
+    }
+    return out.str();
+}
+
 std::string MetricRegistry::json() const
 {
     nlohmann::json counters = nlohmann::json::object();
     nlohmann::json gauges = nlohmann::json::object();
     nlohmann::json quantiles = nlohmann::json::object();
+    nlohmann::json histograms = nlohmann::json::object();
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         for (const auto& [name, metric] : m_counters)
@@ -105,8 +212,17 @@
             quantiles[name] = { { "count", s.count }, { "mean", s.mean }, { "min", s.smallest }, { "max", s.largest },
                 { "p50", s.p50 }, { "p90", s.p90 }, { "p99", s.p99 } };
         }
+        for (const auto& [name, metric] : m_histograms) {
+            nlohmann::json list = nlohmann::json::array();
+            std::vector<Histogram::Bucket> buckets = metric.buckets();
+            for (const Histogram::Bucket& bucket : buckets)
+                list.push_back({ bucket.upperSeconds, bucket.count }); // infinity is written as null
+            histograms[name]
+                = { { "count", buckets.back().count }, { "sum", metric.sumSeconds() }, { "buckets", list } };
+        }
     }
-    const nlohmann::json all { { "counters", counters }, { "gauges", gauges }, { "quantiles", quantiles } };
+    const nlohmann::json all { { "counters", counters }, { "gauges", gauges }, { "quantiles", quantiles },
+        { "histograms", histograms } };
     return all.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/libs/observe/observe_test.cc
+++ b/libs/observe/observe_test.cc
@@ -105,6 +105,80 @@
     CHECK(json["quantiles"].empty());
 }
 
+TEST_CASE("histograms count each duration in the bucket that includes it", "[observe]")
+{
+    using namespace std::chrono_literals;
+    struct Case {
+        std::chrono::nanoseconds duration;
+        double bound; // of the first bucket that counts it
+    };
+    constexpr double infinity = std::numeric_limits<double>::infinity();
+    for (const Case& test :
+        { Case { -5s, 0.001 }, Case { 0s, 0.001 }, Case { 1ms, 0.001 }, Case { 1ms + 1ns, 0.002 }, Case { 150ms, 0.2 },
+            Case { 200ms, 0.2 }, Case { 10s, 10 }, Case { 10001ms, infinity }, Case { 1h, infinity } }) {
+        INFO("duration " << test.duration.count());
+        Histogram histogram;
+        histogram.add(test.duration);
+        for (const Histogram::Bucket& bucket : histogram.buckets())
+            CHECK(bucket.count == (bucket.upperSeconds >= test.bound ? 1 : 0));
+        CHECK(histogram.sumSeconds() == Approx(std::max(0.0, std::chrono::duration<double>(test.duration).count())));
+    }
+    Histogram many;
+    uint64_t within = 0; // of the bucket of 50 ms
+    Random random(3);
+    for (int i = 0; i < 10000; ++i) {
+        auto duration = std::chrono::microseconds(random.below(100000));
+        within += duration <= 50ms ? 1 : 0;
+        many.add(duration);
+    }
+    CHECK(many.buckets()[5].upperSeconds == 0.05);
+    CHECK(many.buckets()[5].count == within);
+    CHECK(many.buckets().back().count == 10000);
+}
+
+// Guards against a text that collectors cannot read.
+TEST_CASE("metrics print in the text format", "[observe]")
+{
+    using namespace std::chrono_literals;
+    MetricRegistry registry;
+    registry.counter("flow.no-route").add(3);
+    registry.gauge("agent.flows").set(-2);
+    registry.quantiles("q").add(1.5);
+    registry.histogram("request.waited").add(30ms);
+    registry.histogram("request.waited").add(11s);
+    const std::string expected = "# TYPE cicadaward_flow_no_route_total counter\n"
+                                 "cicadaward_flow_no_route_total 3\n"
+                                 "# TYPE cicadaward_agent_flows gauge\n"
+                                 "cicadaward_agent_flows -2\n"
+                                 "# TYPE cicadaward_q summary\n"
+                                 "cicadaward_q{quantile=\"0.5\"} 1.5\n"
+                                 "cicadaward_q{quantile=\"0.9\"} 1.5\n"
+                                 "cicadaward_q{quantile=\"0.99\"} 1.5\n"
+                                 "cicadaward_q_sum 1.5\n"
+                                 "cicadaward_q_count 1\n"
+                                 "# TYPE cicadaward_request_waited_seconds histogram\n"
+                                 "cicadaward_request_waited_seconds_bucket{le=\"0.001\"} 0\n"
+                                 "cicadaward_request_waited_seconds_bucket{le=\"0.002\"} 0\n"
+                                 "cicadaward_request_waited_seconds_bucket{le=\"0.005\"} 0\n"
+                                 "cicadaward_request_waited_seconds_bucket{le=\"0.01\"} 0\n"
+                                 "cicadaward_request_waited_seconds_bucket{le=\"0.02\"} 0\n"
+                                 "cicadaward_request_waited_seconds_bucket{le=\"0.05\"} 1\n"
+                                 "cicadaward_request_waited_seconds_bucket{le=\"0.1\"} 1\n"
+                                 "cicadaward_request_waited_seconds_bucket{le=\"0.2\"} 1\n"
+                                 "cicadaward_request_waited_seconds_bucket{le=\"0.5\"} 1\n"
+                                 "cicadaward_request_waited_seconds_bucket{le=\"1\"} 1\n"
+                                 "cicadaward_request_waited_seconds_bucket{le=\"2\"} 1\n"
+                                 "cicadaward_request_waited_seconds_bucket{le=\"5\"} 1\n"
+                                 "cicadaward_request_waited_seconds_bucket{le=\"10\"} 1\n"
+                                 "cicadaward_request_waited_seconds_bucket{le=\"+Inf\"} 2\n"
+                                 "cicadaward_request_waited_seconds_sum 11.03\n"
+                                 "cicadaward_request_waited_seconds_count 2\n";
+    CHECK(registry.text() == expected);
+    const nlohmann::json json = nlohmann::json::parse(registry.json());
+    CHECK(json["histograms"]["request.waited"]["count"] == 2);
+    CHECK(json["histograms"]["request.waited"]["buckets"].back() == nlohmann::json::array({ nullptr, 2 }));
+}
+
 TEST_CASE("quantiles are exact for few values and close to a sorted list for many", "[observe]")
 {
     Quantiles few;
--- a/libs/steering/agent_requests_test.cc
+++ b/libs/steering/agent_requests_test.cc
@@ -76,6 +76,32 @@
     CHECK(fixture.agent.waitingRequests() == 0);
 }
 
+// Guards against histograms that miss the time in the queue or count it twice.
+TEST_CASE("requests: the times of opening, waiting and answering are reported", "[requests]")
+{
+    RequestFixture fixture;
+    fixture.offer(flowNumber(1));
+    fixture.clock.advance(4ms);
+    FlowPacket opened;
+    opened.flow = flowNumber(1);
+    opened.syn = opened.ack = true;
+    fixture.targetSends(opened);
+    fixture.targetSends(opened); // repeated
+    fixture.open(flowNumber(2));
+    fixture.open(flowNumber(3));
+    for (uint16_t i = 1; i <= 3; ++i)
+        fixture.request(flowNumber(i));
+    fixture.clock.advance(30ms);
+    fixture.answer(flowNumber(1));
+    fixture.answer(flowNumber(1)); // more of the same answer
+    fixture.clock.advance(20ms);
+    fixture.answer(flowNumber(3));
+    std::vector<std::pair<Latency, Duration>> expected { { Latency::FlowOpened, 4ms }, { Latency::FlowOpened, 0ms },
+        { Latency::FlowOpened, 0ms }, { Latency::RequestAnswered, 30ms }, { Latency::RequestWaited, 30ms },
+        { Latency::RequestAnswered, 20ms } };
+    CHECK(fixture.observer.latencies == expected);
+}
+
 TEST_CASE("requests: a request that waits for most of its time goes to the target, which may refuse it", "[requests]")
 {
     RequestFixture fixture;
--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -311,8 +311,10 @@
 
 void AgentSteering::releaseRequests()
 {
-    while (std::optional<HeldRequest> held = m_requests.takeNext(m_flows))
+    while (std::optional<HeldRequest> held = m_requests.takeNext(m_flows)) {
+        m_observer.took(Latency::RequestWaited, m_clock.now() - held->request.arrived);
         giveToTarget(*held);
+    }
 }
 
 void AgentSteering::giveToTarget(HeldRequest& held)
@@ -359,10 +361,14 @@
     if (!flow->answered) {
         flow->answered = true;
         m_admission.answered(packet->flow);
+        if (packet->syn)
+            m_observer.took(Latency::FlowOpened, m_clock.now() - flow->opened);
     }
     locate(packet->flow, *flow);
-    if (packet->length > 0)
+    if (packet->length > 0 && flow->working) {
+        m_observer.took(Latency::RequestAnswered, m_clock.now() - flow->workStarted);
         m_requests.finish(*flow);
+    }
     if (packet->fin) {
         m_flows.close(*flow, &TargetFlow::targetClosed);
         // No answer follows. The target refuses what comes now, which tells the caller at once.
--- a/libs/steering/decisions.cc
+++ b/libs/steering/decisions.cc
@@ -39,4 +39,21 @@
     return "unknown";
 }
 
+const char* latencyName(Latency latency)
+{
+    switch (latency) {
+    case Latency::FlowOpened:
+        return "flow.opened";
+    case Latency::FlowFound:
+        return "flow.found";
+    case Latency::RequestAnswered:
+        return "request.answered";
+    case Latency::RequestWaited:
+        return "request.waited";
+    case Latency::Count:
+        break;
+    }
+    return "unknown";
+}
+
 } // namespace cicadaward::steering
--- a/libs/steering/decisions.h
+++ b/libs/steering/decisions.h
@@ -1,6 +1,7 @@
 // Decisions that touch a flow. Each has a counter in the metrics and a numbered event in the log.
 #pragma once
 
+#include "core/clock.h"
 #include "steering/flow_packet.h"
 
 #include <string>
@@ -27,6 +28,17 @@
 
 const char* decisionName(Decision);
 
+// Times that a caller may notice. Each has a histogram in the metrics.
+enum class Latency : uint8_t {
+    FlowOpened, // from the SYN's arrival at the agent to the target's answer to it
+    FlowFound, // from an entry's first search to the answer of the flow's agent
+    RequestAnswered, // from a request's way to the target to the first data of the answer
+    RequestWaited, // for a free slot of the target
+    Count
+};
+
+const char* latencyName(Latency);
+
 // What the inputs were: the member or target concerned, why, and the version of the state that was used.
 struct DecisionInputs {
     Endpoint member;
@@ -40,6 +52,7 @@
 public:
     virtual ~DecisionObserver() = default;
     virtual void decided(Decision, const FlowId&, const DecisionInputs&) = 0;
+    virtual void took(Latency, Duration) = 0;
 };
 
 } // namespace cicadaward::steering
--- a/libs/steering/entry_steering.cc
+++ b/libs/steering/entry_steering.cc
@@ -208,6 +208,8 @@
     Position* known = position(flow);
     if (!known)
         return;
+    if (known->searched)
+        m_observer.took(Latency::FlowFound, m_clock.now() - known->firstSearch);
     known->agent = sender;
     known->searched = false;
     m_observer.decided(Decision::Located, flow, { sender, "", m_routes.version() });
--- a/libs/steering/entry_steering.h
+++ b/libs/steering/entry_steering.h
@@ -72,6 +72,7 @@
     void onTick();
 
     size_t cachedFlows() const { return m_flows.size(); }
+    size_t earlyPackets() const { return m_early.size(); }
 
 private:
     // What the entry remembers of a flow.
--- a/libs/steering/entry_steering_test.cc
+++ b/libs/steering/entry_steering_test.cc
@@ -61,6 +61,21 @@
     CHECK(first.size() == 3);
 }
 
+TEST_CASE("entry: the time from a search to its answer is reported once", "[entry]")
+{
+    EntryFixture fixture;
+    FlowPacket data;
+    data.flow = flowNumber(1);
+    data.length = 10;
+    fixture.packet(data);
+    fixture.clock.advance(7ms);
+    fixture.located(memberNumber(2).agent, flowNumber(1));
+    fixture.located(memberNumber(2).agent, flowNumber(1));
+    fixture.located(memberNumber(3).agent, flowNumber(2)); // offered, not searched
+    std::vector<std::pair<Latency, Duration>> expected { { Latency::FlowFound, 7ms } };
+    CHECK(fixture.observer.latencies == expected);
+}
+
 TEST_CASE(
     "entry: an unknown address is answered with silence, a full service with a reset of the first copy", "[entry]")
 {
--- a/libs/steering/steering_schedule_test.cc
+++ b/libs/steering/steering_schedule_test.cc
@@ -142,6 +142,7 @@
         }
         void confirmMembers() override { fabric.askForConfirmation(index); }
         void decided(Decision, const FlowId&, const DecisionInputs&) override { }
+        void took(Latency, Duration) override { }
         Fabric& fabric;
         size_t index;
         std::unique_ptr<EntrySteering> steering;
@@ -178,6 +179,7 @@
         {
             fabric.m_waited += decision == Decision::Waiting ? 1 : 0;
         }
+        void took(Latency, Duration) override { }
         Fabric& fabric;
         size_t index;
         uint64_t incarnation = 0;
