Tell pollers of the first state after a start

Cause: a control instance took its first state as no news and told nobody. The very first configuration of a system was not announced either.

Change: every state that differs from the one announced last is announced, the first one too.

--- a/libs/cluster/control_core.cc
+++ b/libs/cluster/control_core.cc
@@ -401,16 +401,14 @@
     m_forwarding = encodeMessage(state);
 }
 
-// Tells pollers of a new state, so that their intervals may be long. Each poller has two instances that tell it: by a
+// Tells pollers of a new state, so that their intervals may be long. The first state after a start counts as new: after
+// a loss of power those who polled before it wait for it. Each poller has two instances that tell it: by a
 // hash, so that the instances share the work and the loss of one delays nobody.
 void ControlCore::notifyPollers()
 {
     if (m_notified == m_state.index() || m_state.routes().version() == 0)
         return;
-    bool isFirst = m_notified == 0; // what was replayed at the start is no news
     m_notified = m_state.index();
-    if (isFirst)
-        return;
     followState();
     Envelope notice { MessageKind::StateNotice, encodeMessage(StateNotice { m_state.index() }) };
     for (const auto& [poller, heard] : m_pollers) {
--- a/libs/cluster/control_core_test.cc
+++ b/libs/cluster/control_core_test.cc
@@ -2,6 +2,7 @@
 // random ones.
 #include "cluster/control_core.h"
 
+#include "cluster/codec.h"
 #include "cluster/fragments.h"
 
 #include <catch2/catch.hpp>
@@ -96,6 +97,8 @@
             size_t receiver = to.address - 0x0A000001;
             if (receiver < instanceCount)
                 net->messages.emplace_back(addressOf(index).peer, receiver, envelope);
+            else if (envelope.kind == MessageKind::StateNotice)
+                notified.push_back(to);
         }
         void persist(uint64_t ticket, const StoreBatch&) override { batches.push_back(ticket); }
         void answer(RequestNumber request, const Answer& given) override { answers[request] = given; }
@@ -108,6 +111,7 @@
         std::deque<uint64_t> batches;
         bool diskHeld = false;
         std::map<RequestNumber, Answer> answers;
+        std::vector<Endpoint> notified; // of a new state
     };
 
     ManualClock clock;
@@ -211,3 +215,37 @@
     CHECK(follower.core->state().routes().version() == 3);
     CHECK(follower.core->state().instances().size() == instanceCount); // from the founding log
 }
+
+// After a loss of power pollers waited up to 0.2 s for their next turn at an instance that had a state by then; a start
+// counted as no news.
+TEST_CASE("control: pollers are told of the first state and of each change, by two instances each", "[control]")
+{
+    Trio trio;
+    std::vector<Endpoint> pollers;
+    for (uint32_t i = 0; i < 20; ++i) {
+        pollers.push_back({ 0x0A020000 + i, 7721 });
+        for (auto& node : trio.nodes)
+            node.core->onMessage(pollers.back(), { MessageKind::Poll, encodeMessage(Poll()) });
+    }
+    auto& leader = trio.nodes[trio.leader()];
+    for (uint64_t number = 1; number <= 2; ++number) {
+        INFO("version " << number);
+        leader.core->putConfiguration(number, version(number), "text");
+        trio.run(200ms);
+        size_t most = 0;
+        std::map<Endpoint, size_t> notices;
+        for (auto& node : trio.nodes) {
+            most = std::max(most, node.notified.size());
+            for (Endpoint poller : node.notified)
+                ++notices[poller];
+            node.notified.clear();
+        }
+        CHECK(most < pollers.size()); // the instances share the work
+        CHECK(notices.size() == pollers.size());
+        for (const auto& [poller, count] : notices)
+            CHECK(count == 2);
+    }
+    trio.run(1s);
+    for (auto& node : trio.nodes)
+        CHECK(node.notified.empty());
+}
