Give the polls of a control instance their own file

Change: polls, notices of new states and the register of members move to control_polls.cc without a change of their code; the numbers of the machine's own requests stand in detail, since both files use them.

--- a/libs/cluster/control_core.cc
+++ b/libs/cluster/control_core.cc
@@ -1,7 +1,6 @@
 #include "cluster/control_core.h"
 
 #include "cluster/codec.h"
-#include "core/hash.h"
 #include "raft/codec.h"
 
 #include <algorithm>
@@ -9,18 +8,6 @@
 
 namespace cicadaward::cluster {
 
-namespace {
-
-    // Requests of the machine itself (registrations, membership changes) have the highest bit set.
-    constexpr RequestNumber ownRequests = RequestNumber(1) << 63;
-    // Polls beyond this number are answered without a confirmation.
-    constexpr size_t maxConfirmations = 512;
-    constexpr size_t notifiersOfPoller = 2;
-    // Longer than the time in which the slowest poller polls every instance once.
-    constexpr Duration pollerRetention = std::chrono::seconds(240);
-
-} // namespace
-
 StoreBatch foundingBatch(const std::map<InstanceId, InstanceAddress>& founders)
 {
     std::vector<InstanceId> voters;
@@ -355,7 +342,7 @@
         m_registerRequest = accepted ? m_registerRequest : 0;
         m_registerIndex = result.index;
     }
-    if (result.request >= ownRequests)
+    if (result.request >= detail::ownRequests)
         return;
     if (accepted)
         m_orders[result.index] = { result.request, result.term, m_clock.now() + m_options.orderLimit };
@@ -378,129 +365,6 @@
     }
 }
 
-void ControlCore::onPoll(Endpoint sender, const Poll& poll)
-{
-    for (const steering::MemberRecord& record : poll.records)
-        m_members.update(record, poll.period);
-    if (poll.records.size() < 2) // a follower that passes members on is no poller
-        m_pollers[sender] = m_clock.now();
-    if (poll.confirmation != 0 && m_raft.isLeader() && m_confirmations.size() < maxConfirmations)
-        m_confirmations.push_back({ m_clock.now(), PollConfirmation { sender, poll } });
-    else
-        answerPoll(sender, poll, false);
-}
-
-// Keeps the encoded state and the history of changes up to date.
-void ControlCore::followState()
-{
-    if (m_forwardingIndex == m_state.index())
-        return;
-    m_forwardingIndex = m_state.index();
-    ForwardingState state = m_state.forwarding();
-    m_history.add(state);
-    m_forwarding = encodeMessage(state);
-}
-
-// Tells pollers of a new state, so that their intervals may be long. The first state after a start counts as new: after
-// a loss of power those who polled before it wait for it. Each poller has two instances that tell it: by a
-// hash, so that the instances share the work and the loss of one delays nobody.
-void ControlCore::notifyPollers()
-{
-    if (m_notified == m_state.index() || m_state.routes().version() == 0)
-        return;
-    m_notified = m_state.index();
-    followState();
-    Envelope notice { MessageKind::StateNotice, encodeMessage(StateNotice { m_state.index() }) };
-    for (const auto& [poller, heard] : m_pollers) {
-        if (notifies(poller))
-            m_output.sendMessage(poller, notice);
-    }
-}
-
-bool ControlCore::notifies(Endpoint poller) const
-{
-    uint64_t own = mixHash(poller.key(), m_raft.self().value());
-    size_t before = 0;
-    for (const auto& [id, address] : m_state.instances())
-        before += id != m_raft.self() && mixHash(poller.key(), id.value()) > own ? 1 : 0;
-    return before < notifiersOfPoller;
-}
-
-void ControlCore::forgetPollers()
-{
-    for (auto i = m_pollers.begin(); i != m_pollers.end();)
-        i = m_clock.now() - i->second > pollerRetention ? m_pollers.erase(i) : std::next(i);
-}
-
-void ControlCore::answerPoll(Endpoint sender, const Poll& poll, bool confirmed)
-{
-    PollReply reply;
-    for (const steering::MemberRecord& record : poll.records) {
-        reply.newestIncarnation = m_members.incarnationOf(record.agent);
-        auto registered = m_state.members().find(record.agent);
-        if (registered == m_state.members().end())
-            continue;
-        reply.registeredIncarnation = registered->second.incarnation;
-        reply.registeredStart = registered->second.targetStart;
-    }
-    reply.pollers = static_cast<uint32_t>(m_pollers.size());
-    reply.stateIndex = m_state.index();
-    if (poll.stateIndex < m_state.index() && m_state.routes().version() != 0) {
-        followState();
-        reply.deltas = m_history.since(poll.stateIndex);
-        if (reply.deltas.empty())
-            reply.state = m_forwarding;
-    }
-    bool complete = poll.wantsMembers && m_members.answer(poll.table, poll.digest, reply);
-    if (confirmed && complete)
-        reply.confirmation = poll.confirmation;
-    reply.controls = knownControls();
-    reply.leader = operatorsOf(m_raft.leader());
-    reply.term = m_raft.term().value();
-    m_output.sendMessage(sender, { MessageKind::PollReply, encodeMessage(reply) });
-}
-
-// One change of the register is under way at a time; what comes meanwhile goes into the next one. Followers pass on
-// what they hear, since an agent may be cut off from the leader alone.
-void ControlCore::tendRegister()
-{
-    bool isDue = m_registerSeen != m_members.version().number || m_clock.now() >= m_nextRegisterLook;
-    bool leads = m_raft.canRead();
-    std::optional<Endpoint> leader = m_raft.isLeader() ? std::nullopt : addressOf(m_raft.leader());
-    if ((!leads && !leader) || m_registerRequest != 0 || !isDue)
-        return;
-    m_registerSeen = m_members.version().number;
-    m_nextRegisterLook = m_clock.now() + m_options.registerInterval;
-    RegisterChanges changes = m_members.registerChanges(m_state.members());
-    if (leads)
-        proposeChanges(std::move(changes));
-    else if (!changes.add.empty()) {
-        Poll announcement;
-        announcement.stateIndex = m_state.index();
-        announcement.records = std::move(changes.add);
-        m_output.sendMessage(*leader, { MessageKind::Poll, encodeMessage(announcement) });
-    }
-}
-
-void ControlCore::proposeChanges(RegisterChanges changes)
-{
-    if (!changes.add.empty())
-        proposeMembers(CommandKind::RegisterMembers, std::move(changes.add));
-    else if (!changes.remove.empty())
-        proposeMembers(CommandKind::RemoveMembers, std::move(changes.remove));
-}
-
-void ControlCore::proposeMembers(CommandKind kind, std::vector<steering::MemberRecord> members)
-{
-    Command command;
-    command.kind = kind;
-    command.members = std::move(members);
-    m_nextRegisterLook = m_clock.now(); // what this command leaves out follows at once
-    m_registerIndex = std::numeric_limits<LogIndex>::max();
-    m_registerRequest = ownRequests + m_nextChange++;
-    propose(m_registerRequest, command);
-}
-
 void ControlCore::tendGroup()
 {
     if (!m_raft.isLeader())
@@ -512,14 +376,14 @@
         command.kind = CommandKind::SetInstance;
         command.instance = registration->first;
         command.address = registration->second;
-        propose(ownRequests + m_nextChange++, command);
+        propose(detail::ownRequests + m_nextChange++, command);
         return;
     }
     if (std::optional<GroupChange> change = m_group.nextChange(status, m_state)) {
         m_output.happened(ControlEvent::MembershipChanged,
             std::to_string(change->instance.value()) + " " + change->reason, m_applied);
-        perform(
-            m_raft.handle(raft::ChangeMembership { ownRequests + m_nextChange++, change->change, change->instance }));
+        perform(m_raft.handle(
+            raft::ChangeMembership { detail::ownRequests + m_nextChange++, change->change, change->instance }));
     }
 }
 
--- a/libs/cluster/control_core.h
+++ b/libs/cluster/control_core.h
@@ -54,6 +54,13 @@
 
 using RequestNumber = uint64_t;
 
+namespace detail {
+
+    // Requests of the machine itself (registrations, membership changes) have the highest bit set.
+    constexpr RequestNumber ownRequests = RequestNumber(1) << 63;
+
+} // namespace detail
+
 enum class AnswerKind : uint8_t { Done, Configuration, Redirect, Unavailable };
 
 struct Answer {
