Remove an unused function of the poller, and name the headers that are used

Cause: the last reading found nextAfter() without a caller since the turns follow the poller's own order, and control_polls.cc without the header of numeric_limits.

Change: the function is gone, the include stands where it is used, a comment is reflowed.

--- a/libs/cluster/control_core.cc
+++ b/libs/cluster/control_core.cc
@@ -4,7 +4,6 @@
 #include "raft/codec.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace cicadaward::cluster {
 
--- a/libs/cluster/control_polls.cc
+++ b/libs/cluster/control_polls.cc
@@ -4,6 +4,7 @@
 #include "core/hash.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace cicadaward::cluster {
 
@@ -41,8 +42,8 @@
 }
 
 // Tells pollers of a new state, so that their intervals may be long. The first state after a start counts as new: after
-// a loss of power those who polled before it wait for it. Each poller has two instances that tell it: by a
-// hash, so that the instances share the work and the loss of one delays nobody.
+// a loss of power those who polled before it wait for it. Each poller has two instances that tell it, by a hash, so
+// that the instances share the work and the loss of one delays nobody.
 void ControlCore::notifyPollers()
 {
     if (m_notified == m_state.index() || m_state.routes().version() == 0)
--- a/libs/cluster/poller.cc
+++ b/libs/cluster/poller.cc
@@ -14,14 +14,6 @@
     constexpr int contactIntervals = 4;
     constexpr uint64_t turnsOfAll = 8; // each such turn goes to an instance with or without a state
 
-    // The first one after `last`, in cyclic order, that `isWanted` accepts; the list must have one.
-    template <typename Wanted> Endpoint nextAfter(const std::vector<Endpoint>& controls, Endpoint last, Wanted isWanted)
-    {
-        auto begin = std::upper_bound(controls.begin(), controls.end(), last);
-        auto found = std::find_if(begin, controls.end(), isWanted);
-        return found != controls.end() ? *found : *std::find_if(controls.begin(), controls.end(), isWanted);
-    }
-
 } // namespace
 
 Poller::Poller(PollerOptions options, const Clock& clock, Random& random, PollerOutput& output)
