--- a/libs/cluster/cluster_test.cc
+++ b/libs/cluster/cluster_test.cc
@@ -2,6 +2,7 @@
 #include "cluster/fragments.h"
 #include "cluster/group.h"
 #include "cluster/relay.h"
+#include "cluster/test_values.h"
 
 #include <catch2/catch.hpp>
 
@@ -11,9 +12,6 @@
 
 namespace {
 
-const Endpoint peerA { 0x0A010001, 7720 };
-const Endpoint peerB { 0x0A010002, 7720 };
-
 InstanceAddress addressOf(Endpoint peer) { return { peer, { peer.address, 8166 } }; }
 
 Command putCommand(uint64_t version, const std::string& text)
@@ -43,16 +41,6 @@
     return command;
 }
 
-steering::MemberRecord memberNumber(uint32_t number)
-{
-    steering::MemberRecord record;
-    record.agent = { 0x0A020000 + number, 8172 };
-    record.state = steering::TargetState::Ready;
-    record.incarnation = 10;
-    record.sequence = 1;
-    return record;
-}
-
 raft::RaftStatus groupStatus(std::vector<raft::InstanceStatus> instances)
 {
     raft::RaftStatus status;
--- a/libs/cluster/member_table_test.cc
+++ b/libs/cluster/member_table_test.cc
@@ -1,5 +1,6 @@
 // The table of targets that a control instance keeps for pollers.
 #include "cluster/member_table.h"
+#include "cluster/test_values.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -8,20 +9,6 @@
 using namespace cicadaward::cluster;
 using namespace std::chrono_literals;
 
-namespace {
-
-steering::MemberRecord memberNumber(uint32_t number)
-{
-    steering::MemberRecord record;
-    record.agent = { 0x0A020000 + number, 8172 };
-    record.state = steering::TargetState::Ready;
-    record.incarnation = 10;
-    record.sequence = 1;
-    return record;
-}
-
-} // namespace
-
 TEST_CASE("table: registered members have rows before they are heard, and departed ones leave no live row", "[members]")
 {
     ManualClock clock;
--- a/libs/cluster/poller_test.cc
+++ b/libs/cluster/poller_test.cc
@@ -1,6 +1,7 @@
 // How entries and agents poll the control instances.
 #include "cluster/codec.h"
 #include "cluster/poller.h"
+#include "cluster/test_values.h"
 
 #include <catch2/catch.hpp>
 
@@ -8,13 +9,6 @@
 using namespace cicadaward::cluster;
 using namespace std::chrono_literals;
 
-namespace {
-
-const Endpoint peerA { 0x0A010001, 7720 };
-const Endpoint peerB { 0x0A010002, 7720 };
-
-} // namespace
-
 // Guards against an instance that is never polled: each one names itself first, and with turns by position in the list
 // of the last reply some sequences of replies left one out for good. When that was the leader, no target was
 // registered.
--- a/libs/steering/early_packets_test.cc
+++ b/libs/steering/early_packets_test.cc
@@ -1,6 +1,6 @@
 #include "steering/early_packets.h"
 
-#include "steering/test_fabric.h"
+#include "steering/entry_fixture.h"
 
 #include <catch2/catch.hpp>
 
@@ -48,30 +48,6 @@
     CHECK(packets.size() == 1);
 }
 
-namespace {
-
-struct StartingEntry {
-    ManualClock clock;
-    FakeFormat format;
-    CountingObserver observer;
-    RecordingOutput output;
-    EntrySteering entry { options(), format, clock, observer, output };
-
-    static EntryOptions options()
-    {
-        EntryOptions result;
-        result.self = entryEndpoint;
-        return result;
-    }
-    void packet(const FlowPacket& head)
-    {
-        std::vector<uint8_t> bytes = FakeFormat::encode(head);
-        entry.onCallerPacket(bytes.data(), bytes.size());
-    }
-};
-
-} // namespace
-
 // After a loss of power of all machines, packets that reached an entry before its state were dropped: callers lost a
 // retransmission interval, and requests near their timeout failed.
 TEST_CASE("entry: packets that come before the first state are steered by it", "[entry][early]")
--- /dev/null
+++ b/libs/steering/entry_fixture.h
@@ -0,0 +1,31 @@
+// An entry without a state that a test drives by hand.
+#pragma once
+
+#include "steering/test_fabric.h"
+
+#include <vector>
+
+namespace cicadaward::steering {
+
+struct StartingEntry {
+    ManualClock clock;
+    FakeFormat format;
+    CountingObserver observer;
+    RecordingOutput output;
+    EntrySteering entry { options(), format, clock, observer, output };
+
+    static EntryOptions options()
+    {
+        EntryOptions result;
+        result.self = entryEndpoint;
+        result.cacheEntries = 64;
+        return result;
+    }
+    void packet(const FlowPacket& head)
+    {
+        std::vector<uint8_t> bytes = FakeFormat::encode(head);
+        entry.onCallerPacket(bytes.data(), bytes.size());
+    }
+};
+
+} // namespace cicadaward::steering
--- a/libs/steering/entry_steering_test.cc
+++ b/libs/steering/entry_steering_test.cc
@@ -1,4 +1,4 @@
-#include "steering/test_fabric.h"
+#include "steering/entry_fixture.h"
 
 #include <catch2/catch.hpp>
 
@@ -8,31 +8,13 @@
 
 namespace {
 
-struct EntryFixture {
-    ManualClock clock;
-    FakeFormat format;
-    CountingObserver observer;
-    RecordingOutput output;
-    EntrySteering entry { options(), format, clock, observer, output };
-
-    static EntryOptions options()
-    {
-        EntryOptions result;
-        result.self = entryEndpoint;
-        result.cacheEntries = 64;
-        return result;
-    }
+struct EntryFixture : StartingEntry {
     EntryFixture()
     {
         entry.setState(hubTable(), {});
         for (uint32_t i = 1; i <= 4; ++i)
             entry.members().update(memberNumber(i));
     }
-    void packet(const FlowPacket& head)
-    {
-        std::vector<uint8_t> bytes = FakeFormat::encode(head);
-        entry.onCallerPacket(bytes.data(), bytes.size());
-    }
     void located(Endpoint agent, const FlowId& flow)
     {
         std::vector<uint8_t> bytes = flowFrameBytes(FrameKind::Located, flow);
