Let the queue of requests decide the same way in every run

Cause: ties between waiting requests, and the choice among overdue ones, followed the iteration order of a hash map, which differs from process to process. Change: ties are broken by arrival and by the hash of the flow; of the overdue requests the oldest goes first.

--- a/libs/steering/request_queue.cc
+++ b/libs/steering/request_queue.cc
@@ -7,8 +7,8 @@
 
 namespace {
 
-    // The smallest rank goes first.
-    using Rank = std::tuple<int, uint32_t, Time>;
+    // The smallest rank goes first. Arrival and flow only break ties, so that equal inputs give equal orders.
+    using Rank = std::tuple<int, uint32_t, Time, Time, uint64_t>;
 
     // Requests differ in their work, and with less time to spare many would just miss what they were chosen for.
     constexpr int spareWork = 2;
@@ -17,11 +17,12 @@
 
     Rank rankOf(const WaitingRequest& request, Time answer)
     {
+        uint64_t flow = request.flow.hash();
         if (answer <= request.objective)
-            return { MeetsObjective, request.priority, request.objective };
+            return { MeetsObjective, request.priority, request.objective, request.arrived, flow };
         if (answer <= request.timeout)
-            return { MeetsTimeout, request.priority, request.timeout };
-        return { MeetsNothing, request.priority, request.timeout };
+            return { MeetsTimeout, request.priority, request.timeout, request.arrived, flow };
+        return { MeetsNothing, request.priority, request.timeout, request.arrived, flow };
     }
 
 } // namespace
@@ -63,12 +64,17 @@
 std::optional<HeldRequest> RequestQueue::takeOverdue()
 {
     Time now = m_clock.now();
+    const WaitingRequest* oldest = nullptr;
+    auto comesBefore = [](const WaitingRequest& a, const WaitingRequest& b) {
+        return std::make_pair(a.arrived, a.flow.hash()) < std::make_pair(b.arrived, b.flow.hash());
+    };
     for (const auto& [flow, held] : m_requests) {
         const WaitingRequest& request = held.request;
-        if (now - request.arrived > (request.timeout - request.arrived) * 3 / 4)
-            return take(FlowId(flow));
+        bool isOverdue = now - request.arrived > (request.timeout - request.arrived) * 3 / 4;
+        if (isOverdue && (!oldest || comesBefore(request, *oldest)))
+            oldest = &request;
     }
-    return std::nullopt;
+    return oldest ? take(FlowId(oldest->flow)) : std::nullopt;
 }
 
 std::optional<HeldRequest> RequestQueue::take(const FlowId& flow)
