Pass a returned packet on only with the frame that it came in

Cause: an agent numbers the packets that it gives to its target from 1 after each start, and a target that is slow may return a packet that it got from the agent's former process. Its number then named the frame of another flow; the packet travelled on with that flow's member list, came back to an entry as denied by members that were never asked, and the entry reset an open flow. Change: numbers begin at a random one for each start, and the flow that a number stands for is compared. The new test fails when either the comparison or the random beginning is taken out.

--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -2,6 +2,8 @@
 // that the agent has not seen goes to the target only when the agent cannot rule out that the target holds it.
 #include "steering/agent_steering.h"
 
+#include "core/hash.h"
+
 #include <algorithm>
 
 namespace cicadaward::steering {
@@ -29,6 +31,7 @@
     , m_requests(m_options.queue, clock)
     , m_flows(m_options.maxFlows)
     , m_marked(m_options.bounceWindow)
+    , m_lastMark(static_cast<uint32_t>(mixHash(m_options.incarnation, m_options.self.key())))
     , m_lastExpiry(clock.now())
 {
     m_record.agent = m_options.self;
@@ -164,7 +167,7 @@
     TargetFlow* known = m_flows.find(packet.flow);
     if (known && !known->lost) {
         known->entry = frame.entry;
-        giveToTarget(frame, data, size); // another copy of a SYN that the target has
+        giveToTarget(frame, packet.flow, data, size); // another copy of a SYN that the target has
         return;
     }
     ServiceKey own = m_registration.target() ? m_registration.target()->service : ServiceKey();
@@ -204,7 +207,7 @@
     flow->entry = frame.entry;
     m_admission.offered(packet.flow);
     frame.compare = false;
-    giveToTarget(frame, data, size);
+    giveToTarget(frame, packet.flow, data, size);
     m_observer.decided(Decision::Accepted, packet.flow, { frame.entry, "", m_routes.version(), ownLoad });
 }
 
@@ -278,7 +281,7 @@
             flow->noteData(packet);
         m_unconfirmed.emplace_back(flow->opened, packet.flow);
     }
-    giveToTarget(frame, data, size);
+    giveToTarget(frame, packet.flow, data, size);
 }
 
 void AgentSteering::onKnownFlow(TargetFlow& flow, Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
@@ -293,7 +296,7 @@
         onCallerClosed(flow, packet);
     bool waits = packet.length > 0 && m_requests.hold(flow, termsOf(packet.flow), frame, packet, data, size);
     if (!waits) {
-        giveToTarget(frame, data, size);
+        giveToTarget(frame, packet.flow, data, size);
         return;
     }
     m_observer.decided(Decision::Waiting, packet.flow,
@@ -320,14 +323,17 @@
 void AgentSteering::giveToTarget(HeldRequest& held)
 {
     for (HeldPacket& packet : held.packets)
-        giveToTarget(packet.frame, packet.bytes.data(), packet.bytes.size());
+        giveToTarget(packet.frame, held.request.flow, packet.bytes.data(), packet.bytes.size());
 }
 
-void AgentSteering::giveToTarget(const Frame& frame, uint8_t* data, size_t size)
+void AgentSteering::giveToTarget(const Frame& frame, const FlowId& flow, uint8_t* data, size_t size)
 {
     uint32_t mark = ++m_lastMark;
+    if (mark == 0) // stands for none
+        mark = ++m_lastMark;
     Marked& marked = m_marked[mark % m_marked.size()];
     marked.mark = mark;
+    marked.flow = flow;
     marked.frame = frame;
     m_format.prepareForTarget(data, mark);
     m_output.sendToTarget(data, size);
@@ -385,7 +391,7 @@
     forget(packet.flow);
     releaseRequests();
     const Marked& marked = m_marked[packet.mark % m_marked.size()];
-    if (packet.mark == 0 || marked.mark != packet.mark) {
+    if (packet.mark == 0 || marked.mark != packet.mark || !(marked.flow == packet.flow)) {
         m_observer.decided(Decision::NotHeld, packet.flow, { {}, "bounced with an unknown mark" });
         return;
     }
--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -81,8 +81,11 @@
     size_t waitingRequests() const { return m_requests.waiting(); }
 
 private:
+    // A packet given to the target. The mark alone does not name it: a packet that the target returns late may carry
+    // the mark of an earlier process of this agent.
     struct Marked {
         uint32_t mark = 0;
+        FlowId flow;
         Frame frame;
     };
 
@@ -94,7 +97,7 @@
     void onKnownFlow(TargetFlow&, Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void releaseRequests();
     void passOn(Frame&, const FlowPacket&, const char* reason, const uint8_t* data, size_t size);
-    void giveToTarget(const Frame&, uint8_t* data, size_t size);
+    void giveToTarget(const Frame&, const FlowId&, uint8_t* data, size_t size);
     void giveToTarget(HeldRequest&);
     void onCallerClosed(TargetFlow&, const FlowPacket&);
     void onBounced(const FlowPacket&, uint8_t* data, size_t size);
@@ -124,7 +127,7 @@
     TargetFlows m_flows;
     std::deque<std::pair<Time, FlowId>> m_unconfirmed; // deliveries of unseen flows, oldest first
     std::vector<Marked> m_marked; // ring, by mark
-    uint32_t m_lastMark = 0;
+    uint32_t m_lastMark; // begins at a random number, see Marked
     Time m_lastExpiry;
     std::vector<uint8_t> m_buffer;
 };
--- a/libs/steering/agent_steering_test.cc
+++ b/libs/steering/agent_steering_test.cc
@@ -198,6 +198,39 @@
     CHECK(fixture.output.frames.size() == 2);
 }
 
+// Guards against a bounced packet that travels on with the member list of another flow: members that were not asked
+// would count as having denied it.
+TEST_CASE("agent: a bounced packet with the mark of an earlier process is not passed on", "[agent]")
+{
+    Endpoint self = AgentFixture::options().self;
+    std::vector<uint32_t> marks;
+    for (uint64_t incarnation : { 1, 2 }) {
+        ManualClock clock;
+        FakeFormat format;
+        CountingObserver observer;
+        RecordingOutput output;
+        AgentOptions options = AgentFixture::options();
+        options.incarnation = incarnation;
+        AgentSteering agent(options, format, clock, observer, output);
+        Frame frame;
+        frame.next = 1;
+        frame.entry = entryEndpoint;
+        frame.members = { self, memberNumber(2).agent };
+        std::vector<uint8_t> bytes = frameBytes(frame, dataPacket(flowNumber(1)));
+        agent.onFrame(entryEndpoint, bytes.data(), bytes.size());
+        REQUIRE(output.toTarget.size() == 1);
+        FlowPacket packet;
+        std::memcpy(&packet, output.toTarget[0].bytes.data(), sizeof(packet));
+        marks.push_back(packet.mark);
+        packet.bounced = true;
+        packet.flow = flowNumber(2);
+        bytes = FakeFormat::encode(packet);
+        agent.onTargetPacket(bytes.data(), bytes.size());
+        CHECK(output.frames.empty());
+    }
+    CHECK(marks[0] != marks[1]);
+}
+
 TEST_CASE("agent: flows of a target that started again are reset, unknown ones never", "[agent]")
 {
     AgentFixture fixture;
