Admit every SYN that the target has not been given

Cause: an agent gave a SYN to its target without asking for draining, evacuation, warm-up or load when it knew the flow. It also knew flows of which it had only seen a data packet that it could not rule out, and flows of a target that has departed since, so a delayed copy of a SYN reached a draining target, a data centre that was out, or the target that started at the address next. Change: only a copy of a SYN that this process gave to the present target passes; all others are admitted anew. Both new tests fail without the change.

--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -165,7 +165,8 @@
 void AgentSteering::onOffer(Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
 {
     TargetFlow* known = m_flows.find(packet.flow);
-    if (known && !known->lost) {
+    bool hasTarget = m_registration.state() != TargetState::Departed;
+    if (known && known->offered && !known->lost && hasTarget) {
         known->entry = frame.entry;
         giveToTarget(frame, packet.flow, data, size); // another copy of a SYN that the target has
         return;
@@ -203,6 +204,7 @@
     TargetFlow* flow = m_flows.replace(packet.flow, now);
     if (!flow)
         return;
+    flow->offered = true;
     flow->born = now - packet.age;
     flow->entry = frame.entry;
     m_admission.offered(packet.flow);
--- a/libs/steering/agent_steering_test.cc
+++ b/libs/steering/agent_steering_test.cc
@@ -231,6 +231,31 @@
     CHECK(marks[0] != marks[1]);
 }
 
+// Guards against a SYN that passes by draining, evacuation and warm-up because a packet of its flow was seen before.
+TEST_CASE("agent: a SYN of a flow that was only searched for here is admitted as any other", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.ready();
+    Endpoint self = AgentFixture::options().self;
+    fixture.frame(FrameKind::Deliver, dataPacket(flowNumber(1)), { self, memberNumber(2).agent });
+    fixture.beat("t-1", 100, true);
+    size_t given = fixture.output.toTarget.size();
+    fixture.frame(FrameKind::Offer, synPacket(flowNumber(1)), { self, memberNumber(2).agent });
+    CHECK(fixture.output.toTarget.size() == given);
+}
+
+// Guards against a packet for the target that started at the address after the one that had the flow.
+TEST_CASE("agent: a copy of a SYN does not go to a target that has departed", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.ready();
+    fixture.offer(flowNumber(1));
+    size_t given = fixture.output.toTarget.size();
+    fixture.agent.onDeparture("t-1");
+    fixture.offer(flowNumber(1));
+    CHECK(fixture.output.toTarget.size() == given);
+}
+
 TEST_CASE("agent: flows of a target that started again are reset, unknown ones never", "[agent]")
 {
     AgentFixture fixture;
--- a/libs/steering/target_flows.h
+++ b/libs/steering/target_flows.h
@@ -17,6 +17,7 @@
     Time born; // when the caller began to open it, as far as the SYN tells
     Time lastPacket;
     Endpoint entry; // port 0, or the entry that waits for Located
+    bool offered = false; // the target was given its SYN
     bool answered = false; // the target has sent a packet of the flow, or has not bounced one
     bool heard = false; // the target has sent a packet of the flow to this process
     bool established = false; // the target has sent more than the answer to the SYN: the caller chose this target
