--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -80,7 +80,6 @@
     else
         return;
     m_admission.reset();
-    m_unconfirmed.clear();
     m_requests.reset();
 }
 
@@ -139,6 +138,8 @@
     }
     if (frame.kind == FrameKind::Offer)
         onOffer(frame, *packet, packetData, packetSize);
+    else if (frame.kind == FrameKind::Spread)
+        spread(frame, packetData, packetSize);
     else
         onDelivery(frame, *packet, packetData, packetSize);
 }
@@ -267,6 +268,20 @@
     }
 }
 
+// The sender's own link may be too thin for a copy to each member.
+void AgentSteering::spread(const Frame& frame, const uint8_t* data, size_t size)
+{
+    Frame probe;
+    probe.kind = FrameKind::Probe;
+    probe.entry = frame.entry;
+    probe.next = 1;
+    for (Endpoint member : frame.members) {
+        probe.members.assign(1, member);
+        encodeFrame(probe, data, size, m_buffer);
+        m_output.sendFrame(member, m_buffer);
+    }
+}
+
 void AgentSteering::onUnknownFlow(Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
 {
     bool isKnown = (m_registration.sawStart() && !m_overflowed) || m_registration.state() == TargetState::Departed;
@@ -281,7 +296,6 @@
         flow->entry = frame.entry;
         if (packet.length > 0)
             flow->noteData(packet);
-        m_unconfirmed.emplace_back(flow->opened, packet.flow);
     }
     giveToTarget(frame, packet.flow, data, size);
 }
@@ -289,11 +303,16 @@
 void AgentSteering::onKnownFlow(TargetFlow& flow, Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
 {
     flow.lastPacket = m_clock.now();
+    flow.established = flow.established || flow.isAnswerOf(packet);
     bool asked = frame.kind == FrameKind::Probe || frame.members.size() > 1;
     if (asked || !flow.answered)
         flow.entry = frame.entry;
-    if (flow.answered && asked)
+    if (flow.established && asked)
         locate(packet.flow, flow);
+    if (asked) {
+        if (std::optional<HeldRequest> held = m_requests.takeSearched(packet.flow, flow))
+            giveToTarget(*held);
+    }
     if (packet.fin || packet.reset)
         onCallerClosed(flow, packet);
     bool waits = packet.length > 0 && m_requests.hold(flow, termsOf(packet.flow), frame, packet, data, size);
@@ -365,7 +384,10 @@
     flow->lost = false;
     flow->heard = true;
     flow->noteAcknowledgement(*packet);
-    flow->established = flow->established || !packet->syn;
+    if (packet->syn)
+        flow->noteOpening(*packet);
+    else
+        flow->established = true;
     if (!flow->answered) {
         flow->answered = true;
         m_admission.answered(packet->flow);
@@ -402,22 +424,6 @@
     passOn(frame, packet, "bounced", data, size);
 }
 
-// A target bounces a packet of a flow that it does not hold at once, but may have no reason to answer one that it
-// holds.
-void AgentSteering::confirmHeld()
-{
-    Time now = m_clock.now();
-    while (!m_unconfirmed.empty() && now - m_unconfirmed.front().first > m_options.bounceTimeout) {
-        FlowId id = m_unconfirmed.front().second;
-        m_unconfirmed.pop_front();
-        TargetFlow* flow = m_flows.find(id);
-        if (!flow || flow->answered)
-            continue;
-        flow->answered = true;
-        locate(id, *flow);
-    }
-}
-
 void AgentSteering::locate(const FlowId& id, TargetFlow& flow)
 {
     if (flow.entry.port == 0)
@@ -443,7 +449,6 @@
 void AgentSteering::onTick()
 {
     m_admission.onTick();
-    confirmHeld();
     if (m_clock.now() - m_lastExpiry >= expiryInterval)
         expire();
     if (m_requests.waiting() > 0) {
--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -21,7 +21,6 @@
 #include "steering/target_flows.h"
 #include "steering/target_registration.h"
 
-#include <deque>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,8 +34,6 @@
     size_t maxFlows = 16384;
     size_t bounceWindow = 1024; // packets given to the target whose frames are kept for a bounce
     Duration heartbeatSilence = std::chrono::milliseconds(4800); // four heartbeats
-    Duration bounceTimeout
-        = std::chrono::milliseconds(25); // a target that has not bounced a packet by then holds the flow
     Duration closedRetention = std::chrono::seconds(4);
     FlowAdmissionOptions admission;
     RequestQueueOptions queue;
@@ -94,6 +91,7 @@
     void accept(Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void onDelivery(Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void onUnknownFlow(Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    void spread(const Frame&, const uint8_t* data, size_t size);
     void onKnownFlow(TargetFlow&, Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void releaseRequests();
     void passOn(Frame&, const FlowPacket&, const char* reason, const uint8_t* data, size_t size);
@@ -106,7 +104,6 @@
     void locate(const FlowId&, TargetFlow&);
     void forget(const FlowId&);
     void onNewTarget(bool knewTarget);
-    void confirmHeld();
     void expire();
 
     const AgentOptions m_options;
@@ -125,7 +122,6 @@
     bool m_overflowed = false; // flows of the target's current start may be missing in m_flows
     RequestGate m_requests;
     TargetFlows m_flows;
-    std::deque<std::pair<Time, FlowId>> m_unconfirmed; // deliveries of unseen flows, oldest first
     std::vector<Marked> m_marked; // ring, by mark
     uint32_t m_lastMark; // begins at a random number, see Marked
     Time m_lastExpiry;
--- a/libs/steering/entry_steering.cc
+++ b/libs/steering/entry_steering.cc
@@ -1,5 +1,6 @@
 // New flows go to members in rendezvous order; packets of known flows go straight to their agent; everything else is
-// searched, first member by member in the likeliest order, then at all members at once.
+// searched (FlowSearches). A caller that repeats its data has not been heard, so its flow is searched too, beginning at
+// the agent that is known.
 #include "steering/entry_steering.h"
 
 #include <algorithm>
@@ -28,6 +29,7 @@
     , m_observer(observer)
     , m_output(output)
     , m_members(clock)
+    , m_searches(options.search, clock, m_members)
     , m_early(options.early, clock)
     , m_lastExpiry(clock.now())
 {
@@ -97,11 +99,14 @@
     frame.next = 1;
     frame.service = service;
     frame.entry = m_options.self;
-    auto found = m_flows.find(packet.flow);
-    if (found != m_flows.end() && found->second.agent.port != 0) {
-        frame.members.push_back(found->second.agent);
+    Position* known = position(packet.flow);
+    if (known && packet.copy == 0)
+        known->offered = m_clock.now();
+    if (known && known->agent.port != 0) {
+        frame.members.push_back(known->agent);
         frame.compare = false;
     }
+    m_searches.forget(packet.flow);
     frame.members.insert(frame.members.end(), candidates.begin(), candidates.end());
     Endpoint second = frame.members.size() > 1 ? frame.members[1] : Endpoint();
     if (m_offers.size() < maxPendingOffers)
@@ -117,74 +122,79 @@
         m_observer.decided(Decision::TableFull, packet.flow, {});
         return;
     }
-    Time now = m_clock.now();
-    known->lastPacket = now;
+    known->lastPacket = m_clock.now();
     known->closing = known->closing || packet.fin || packet.reset;
+    bool isRepeat = known->noteRepeat(packet);
     const MemberRecord* member = known->agent.port != 0 ? m_members.find(known->agent) : nullptr;
     if (member && member->state == TargetState::Departed) {
         known->agent = {};
-        known->searched = false;
+        m_searches.forget(packet.flow);
     }
-    if (known->agent.port != 0) {
-        Frame frame;
-        frame.service = member ? member->service : ServiceKey();
-        frame.entry = m_options.self;
-        frame.next = 1;
-        frame.members.push_back(known->agent);
-        send(known->agent, frame, data, size);
+    if (known->agent.port == 0 || isRepeat || m_searches.isSearched(packet.flow)) {
+        search(packet, known->agent, data, size);
         return;
     }
-    bool overdue = known->searched && now - known->firstSearch >= m_options.searchLimit;
-    if (overdue && now - known->lastBroadcast >= m_options.broadcastInterval)
-        broadcast(packet, *known, data, size);
-    else
-        search(packet, *known, {}, data, size);
+    Frame frame;
+    frame.service = member ? member->service : ServiceKey();
+    frame.entry = m_options.self;
+    frame.next = 1;
+    frame.members.push_back(known->agent);
+    send(known->agent, frame, data, size);
+}
+
+bool EntrySteering::Position::noteRepeat(const FlowPacket& packet)
+{
+    if (packet.length == 0)
+        return false;
+    bool isRepeat = hasData && packet.sequence == lastData;
+    hasData = true;
+    lastData = packet.sequence;
+    return isRepeat;
 }
 
-void EntrySteering::search(
-    const FlowPacket& packet, Position& position, Endpoint last, const uint8_t* data, size_t size)
+void EntrySteering::search(const FlowPacket& packet, Endpoint first, const uint8_t* data, size_t size)
 {
     const Route* route = m_routes.find(packet.flow.service);
     if (!route) {
         m_observer.decided(Decision::NoRoute, packet.flow, { {}, "no route for the address", m_routes.version() });
         return;
     }
-    uint64_t hash = packet.flow.hash();
-    std::vector<Endpoint> members = m_members.forOldFlow(hash, *route, route->draw(hash), maxFrameMembers);
-    if (members.empty()) {
-        m_observer.decided(Decision::NotHeld, packet.flow, { last, "no member to ask", m_routes.version() });
-        return;
-    }
-    auto denying = std::find(members.begin(), members.end(), last);
-    if (denying != members.end())
-        std::rotate(denying, denying + 1, members.end());
-    Frame frame;
-    frame.entry = m_options.self;
-    frame.next = 1;
-    frame.members.assign(members.begin(), members.end());
-    if (!position.searched)
-        position.firstSearch = m_clock.now();
-    position.searched = true;
-    send(members[0], frame, data, size);
-    m_observer.decided(Decision::Searched, packet.flow, { members[0], "", m_routes.version() });
+    bool isNew = !m_searches.isSearched(packet.flow);
+    SearchStep step = m_searches.next(packet.flow, *route, first);
+    if (isNew && m_unanswered.size() < m_options.search.maxUnansweredPackets)
+        m_unanswered.push_back({ packet.flow, m_clock.now(), { data, data + size } });
+    if (step.isExhausted())
+        m_observer.decided(Decision::NotHeld, packet.flow, { first, "no member to ask", m_routes.version() });
+    send(step, packet, data, size);
 }
 
-void EntrySteering::broadcast(const FlowPacket& packet, Position& position, const uint8_t* data, size_t size)
+void EntrySteering::send(const SearchStep& step, const FlowPacket& packet, const uint8_t* data, size_t size)
 {
-    const Route* route = m_routes.find(packet.flow.service);
-    if (!route)
-        return;
-    position.lastBroadcast = m_clock.now();
-    uint64_t hash = packet.flow.hash();
-    for (Endpoint member : m_members.forOldFlow(hash, *route, route->draw(hash), maxFrameMembers)) {
+    if (!step.walk.empty()) {
         Frame frame;
-        frame.kind = FrameKind::Probe;
         frame.entry = m_options.self;
         frame.next = 1;
-        frame.members.push_back(member);
-        send(member, frame, data, size);
+        frame.members.assign(step.walk.begin(), step.walk.end());
+        send(step.walk[0], frame, data, size);
+        m_observer.decided(Decision::Searched, packet.flow, { step.walk[0], "", m_routes.version() });
     }
-    m_observer.decided(Decision::Broadcast, packet.flow, { {}, "no answer to the search", m_routes.version() });
+    for (Endpoint agent : step.probes)
+        sendProbe(agent, FrameKind::Probe, { agent }, data, size);
+    for (const SearchStep::Group& group : step.groups)
+        sendProbe(group.via, FrameKind::Spread, group.members, data, size);
+    if (step.isBroadcast)
+        m_observer.decided(Decision::Broadcast, packet.flow, { {}, "no answer to the search", m_routes.version() });
+}
+
+void EntrySteering::sendProbe(
+    Endpoint agent, FrameKind kind, const std::vector<Endpoint>& members, const uint8_t* data, size_t size)
+{
+    Frame frame;
+    frame.kind = kind;
+    frame.entry = m_options.self;
+    frame.next = kind == FrameKind::Probe ? 1 : 0;
+    frame.members.assign(members.begin(), members.end());
+    send(agent, frame, data, size);
 }
 
 void EntrySteering::onFrame(Endpoint sender, const uint8_t* data, size_t size)
@@ -210,10 +220,9 @@
     Position* known = position(flow);
     if (!known)
         return;
-    if (known->searched)
-        m_observer.took(Latency::FlowFound, m_clock.now() - known->firstSearch);
+    if (std::optional<Duration> duration = m_searches.found(flow))
+        m_observer.took(Latency::FlowFound, *duration);
     known->agent = sender;
-    known->searched = false;
     m_observer.decided(Decision::Located, flow, { sender, "", m_routes.version() });
 }
 
@@ -225,37 +234,49 @@
     m_members.confirm(sender);
     m_strikes.erase(sender);
     if (packet->syn) {
-        if (frame.mayRecover)
-            m_observer.decided(
-                Decision::Unready, packet->flow, { sender, "no member can decide yet", m_routes.version() });
-        else
-            refuse(*packet, "no member accepts");
+        onUnavailable(sender, frame, *packet);
         return;
     }
     auto found = m_flows.find(packet->flow);
-    if (found == m_flows.end())
+    const Route* route = m_routes.find(packet->flow.service);
+    if (found == m_flows.end() || !route)
         return;
     if (found->second.agent == sender)
         found->second.agent = {};
-    // A packet that a known agent gave back has not been searched for yet.
     if (found->second.agent.port != 0)
+        return; // it was found meanwhile
+    SearchStep step
+        = m_searches.denied(packet->flow, *route, { frame.members.begin(), frame.members.end() }, !frame.uncertain);
+    if (step.isExhausted())
+        onDenied(*packet, found->second);
+    else
+        send(step, *packet, data, size);
+}
+
+// No member of the list took the new flow.
+void EntrySteering::onUnavailable(Endpoint sender, const Frame& frame, const FlowPacket& packet)
+{
+    if (frame.mayRecover) {
+        m_observer.decided(Decision::Unready, packet.flow, { sender, "no member can decide yet", m_routes.version() });
         return;
-    if (frame.members.size() == 1 && !found->second.searched)
-        search(*packet, found->second, sender, data, size);
+    }
+    auto found = m_flows.find(packet.flow);
+    bool isInTime = found != m_flows.end() && m_clock.now() - found->second.offered < m_options.refusalLimit;
+    if (isInTime)
+        refuse(packet, "no member accepts");
     else
-        onDenied(*packet, frame, found->second);
+        m_observer.decided(Decision::Unready, packet.flow, { sender, "another copy may be open", m_routes.version() });
 }
 
-void EntrySteering::onDenied(const FlowPacket& packet, const Frame& frame, Position& position)
+void EntrySteering::onDenied(const FlowPacket& packet, Position& position)
 {
-    const char* reason = frame.uncertain ? "a member is not certain" : "all members asked";
+    std::vector<Endpoint> members = m_searches.take(packet.flow); // the next packet is searched anew
+    const char* reason = members.empty() ? "a member is not certain" : "all members asked";
     m_observer.decided(Decision::NotHeld, packet.flow, { {}, reason, m_routes.version() });
-    position.searched = false; // the next packet is searched anew
-    if (frame.uncertain || packet.reset || position.denied || m_denied.size() >= maxDenied)
+    if (members.empty() || packet.reset || position.denied || m_denied.size() >= maxDenied)
         return;
     position.denied = true;
-    m_denied.push_back({ packet.flow, packet.acknowledged, m_clock.now(),
-        std::vector<Endpoint>(frame.members.begin(), frame.members.end()) });
+    m_denied.push_back({ packet.flow, packet.acknowledged, m_clock.now(), std::move(members) });
     m_output.confirmMembers();
 }
 
@@ -283,12 +304,8 @@
     if (!route || route->former.size() >= maxFormerServices)
         return false; // services before the remembered ones may hold it
     uint64_t hash = denied.flow.hash();
-    std::vector<Endpoint> members = m_members.forOldFlow(hash, *route, route->draw(hash), maxFrameMembers + 1);
-    if (members.size() > maxFrameMembers)
-        return false;
-    return std::all_of(members.begin(), members.end(), [&](Endpoint member) {
-        return std::find(denied.members.begin(), denied.members.end(), member) != denied.members.end();
-    });
+    absl::flat_hash_set<Endpoint> members(denied.members.begin(), denied.members.end());
+    return m_members.forOldFlow(hash, *route, route->draw(hash), 1, MemberOrder::ByFlow, &members).empty();
 }
 
 void EntrySteering::expireDenied()
@@ -355,10 +372,25 @@
     }
 }
 
+// Repeats packets whose walks have brought no answer. The callers would do so only after 200 ms.
+void EntrySteering::checkSearches()
+{
+    while (!m_unanswered.empty() && m_clock.now() - m_unanswered.front().sent >= m_options.search.answerLimit) {
+        Unanswered unanswered = std::move(m_unanswered.front());
+        m_unanswered.pop_front();
+        const std::vector<uint8_t>& bytes = unanswered.bytes;
+        std::optional<FlowPacket> packet = m_format.decode(bytes.data(), bytes.size(), Direction::FromCaller);
+        const Route* route = m_routes.find(unanswered.flow.service);
+        if (packet && route)
+            send(m_searches.repeat(unanswered.flow, *route, unanswered.sent), *packet, bytes.data(), bytes.size());
+    }
+}
+
 void EntrySteering::onTick()
 {
     steerEarlyPackets();
     checkOffers();
+    checkSearches();
     expireDenied();
     if (m_clock.now() - m_lastExpiry >= expiryInterval)
         expire();
@@ -377,6 +409,7 @@
         else
             ++i;
     }
+    m_searches.expire();
     m_members.expire();
 }
 
--- a/libs/steering/entry_steering.h
+++ b/libs/steering/entry_steering.h
@@ -19,6 +19,7 @@
 #include "core/clock.h"
 #include "steering/decisions.h"
 #include "steering/early_packets.h"
+#include "steering/flow_search.h"
 #include "steering/frame.h"
 #include "steering/members.h"
 #include "steering/route_table.h"
@@ -35,8 +36,10 @@
     size_t cacheEntries = 65536;
     Duration answerLimit
         = std::chrono::milliseconds(60); // an offer without an answer by then counts against its agents
-    Duration searchLimit = std::chrono::milliseconds(30); // a search without an answer by then becomes a broadcast
-    Duration broadcastInterval = std::chrono::milliseconds(100); // between two broadcasts for one flow
+    // A first copy of a SYN that no member took is refused until then. The caller's second copy comes later than that,
+    // and may open the flow.
+    Duration refusalLimit = std::chrono::milliseconds(150);
+    SearchOptions search;
     Duration suspicion = std::chrono::seconds(1); // how long an agent that did not answer is asked last
     uint8_t strikes = 2; // unanswered offers in a row until an agent is suspected
     Duration closedRetention = std::chrono::seconds(4); // positions of flows that are being closed
@@ -79,11 +82,20 @@
     struct Position {
         Endpoint agent; // where the flow lives; port 0: unknown
         Time lastPacket;
-        Time firstSearch;
-        Time lastBroadcast;
-        bool searched = false;
+        Time offered; // first copy of the SYN
+        uint32_t lastData = 0; // sequence of the caller's newest data, when hasData
+        bool hasData = false;
         bool denied = false; // stands in m_denied
         bool closing = false;
+
+        // Takes note of a packet. True when it repeats data: the caller has no answer to it.
+        bool noteRepeat(const FlowPacket&);
+    };
+    // A packet that a walk has taken along, in case that it brings no answer.
+    struct Unanswered {
+        FlowId flow;
+        Time sent;
+        std::vector<uint8_t> bytes;
     };
     // A flow that all of `members` have denied.
     struct Denied {
@@ -103,17 +115,20 @@
     void steerEarlyPackets();
     void onOpen(const FlowPacket&, const uint8_t* data, size_t size);
     void onData(const FlowPacket&, const uint8_t* data, size_t size);
-    void search(const FlowPacket&, Position&, Endpoint last, const uint8_t* data, size_t size);
-    void broadcast(const FlowPacket&, Position&, const uint8_t* data, size_t size);
+    void search(const FlowPacket&, Endpoint first, const uint8_t* data, size_t size);
+    void send(const SearchStep&, const FlowPacket&, const uint8_t* data, size_t size);
+    void sendProbe(Endpoint agent, FrameKind, const std::vector<Endpoint>& members, const uint8_t* data, size_t size);
     void onLocated(Endpoint sender, const FlowId&);
     void onReturned(Endpoint sender, const Frame&, const uint8_t* packet, size_t size);
-    void onDenied(const FlowPacket&, const Frame&, Position&);
+    void onUnavailable(Endpoint sender, const Frame&, const FlowPacket&);
+    void onDenied(const FlowPacket&, Position&);
     bool isComplete(const Denied&) const;
     void refuse(const FlowPacket&, const char* reason);
     void send(Endpoint agent, const Frame&, const uint8_t* packet, size_t size);
     Position* position(const FlowId&);
     void strike(Endpoint agent);
     void checkOffers();
+    void checkSearches();
     void expireDenied();
     void expire();
 
@@ -125,9 +140,11 @@
     RouteTable m_routes;
     std::set<std::string> m_evacuated;
     Members m_members;
+    FlowSearches m_searches;
     EarlyPackets m_early;
     absl::flat_hash_map<FlowId, Position> m_flows;
     std::deque<PendingOffer> m_offers; // oldest first
+    std::deque<Unanswered> m_unanswered; // oldest first
     std::deque<Denied> m_denied; // oldest first
     absl::flat_hash_map<Endpoint, uint8_t> m_strikes; // by agent
     Time m_lastExpiry;
--- /dev/null
+++ b/libs/steering/fabric_faults.cc
@@ -0,0 +1,193 @@
+// The faults of the simulated fabric.
+#include "steering/fabric_simulation.h"
+
+namespace cicadaward::steering {
+
+using namespace std::chrono_literals;
+
+void Fabric::disturb()
+{
+    size_t agent = m_random.below(agentCount());
+    if (!isWorking(agentFault(agent)))
+        return; // its target shares the instance
+    switch (m_random.below(10)) {
+    case 0: // the planned restart of an entry: empty, but with state and members before it is ready
+        startEntry(m_random.below(m_options.entries));
+        break;
+    case 1:
+        restartAgent(agent);
+        beat(agent);
+        break;
+    case 2:
+        m_targets[agent].draining = !m_targets[agent].draining;
+        if (!m_targets[agent].draining) {
+            loseTarget(agent); // ready again only as a new start
+        }
+        beat(agent);
+        break;
+    case 3: // crash; the address may go to another service
+        m_targets[agent].service = fabricServices[m_random.below(3)];
+        loseTarget(agent);
+        beat(agent);
+        break;
+    case 6: // departs; another target starts there at once or after the next heartbeats were due
+        m_agents[agent]->steering->onDeparture("t-" + std::to_string(agent));
+        loseTarget(agent);
+        m_targets[agent].service = fabricServices[m_random.below(3)];
+        if (m_random.below(2) == 0)
+            beat(agent);
+        break;
+    case 7: // an agent restarts with its target
+        loseTarget(agent);
+        restartAgent(agent);
+        beat(agent);
+        break;
+    case 8:
+        if (m_random.below(4) == 0)
+            losePower();
+        break;
+    case 4:
+        applyRoutes();
+        break;
+    case 5:
+        if (m_out.empty())
+            m_out.insert("dc-" + std::to_string(m_random.below(3)));
+        else
+            m_out.clear();
+        shareState(false);
+        break;
+    default:
+        break;
+    }
+}
+
+void Fabric::disturbProcesses()
+{
+    size_t process = m_random.below(m_faults.size());
+    size_t agent = m_random.below(agentCount());
+    switch (m_random.below(6)) {
+    case 0:
+        kill(process, std::chrono::milliseconds(100 + m_random.below(700)));
+        break;
+    case 1:
+        freeze(process, std::chrono::milliseconds(100 + m_random.below(1500)));
+        break;
+    case 2: // slow targets are often neighbours: a whole rack, say
+        for (size_t i = 0; i < 1 + agentCount() / 4; ++i)
+            m_targets[(agent + i) % agentCount()].slowUntil = m_clock.now() + 2s;
+        break;
+    case 3: // agents of a rack
+        for (size_t i = 0; i < 1 + agentCount() / 6; ++i)
+            kill(m_options.entries + (agent + i) % agentCount(), std::chrono::milliseconds(100 + m_random.below(400)));
+        break;
+    case 4:
+        for (size_t i = 0; m_toReplace.empty() && i < agentCount(); ++i) {
+            if (m_targets[i].service == m_targets[agent].service)
+                m_toReplace.push_back(i);
+        }
+        break;
+    default:
+        for (size_t i = 0; m_toRestart.empty() && i < m_options.entries; ++i)
+            m_toRestart.push_back(i);
+        break;
+    }
+}
+
+void Fabric::kill(size_t process, Duration duration)
+{
+    m_faults[process].down = true;
+    m_faults[process].downUntil = m_clock.now() + duration;
+}
+
+void Fabric::freeze(size_t process, Duration duration) { m_faults[process].frozenUntil = m_clock.now() + duration; }
+
+void Fabric::endFaults()
+{
+    for (size_t process = 0; process < m_faults.size(); ++process) {
+        Fault& fault = m_faults[process];
+        if (!fault.down || fault.downUntil > m_clock.now())
+            continue;
+        fault.down = false;
+        if (process < m_options.entries) {
+            startEntry(process);
+            continue;
+        }
+        restartAgent(process - m_options.entries);
+        beat(process - m_options.entries);
+    }
+    if (!m_toReplace.empty() && m_random.below(20) == 0)
+        replaceNext();
+    if (!m_toRestart.empty() && m_random.below(20) == 0) {
+        startEntry(m_toRestart.back());
+        m_toRestart.pop_back();
+    }
+}
+
+// The next target of a service that is replaced ends, after it was drained for a while, and a new one starts there.
+void Fabric::replaceNext()
+{
+    size_t index = m_toReplace.back();
+    if (!isWorking(agentFault(index)))
+        return;
+    if (!m_targets[index].draining) {
+        m_targets[index].draining = true;
+        beat(index);
+        return;
+    }
+    m_toReplace.pop_back();
+    m_agents[index]->steering->onDeparture("t-" + std::to_string(index));
+    loseTarget(index);
+    beat(index);
+}
+
+// An entry without memory, but with state and members, as it is when it becomes ready.
+void Fabric::startEntry(size_t index)
+{
+    EntryNode& entry = *m_entries[index];
+    m_faults[index] = {};
+    entry.start();
+    entry.steering->setState(m_routes, m_out);
+    for (auto& other : m_agents)
+        announce(*other, entry);
+}
+
+void Fabric::loseTarget(size_t index)
+{
+    m_targets[index].born += 1;
+    m_targets[index].sequence = 0;
+    m_targets[index].draining = false;
+    for (auto& [port, open] : m_targets[index].flows) {
+        auto found = m_flows.find(port);
+        if (found == m_flows.end() || found->second.target != index || found->second.reset)
+            continue;
+        found->second.lost = true;
+        found->second.tries = 0;
+        ++m_lost;
+    }
+    m_targets[index].flows.clear();
+}
+
+void Fabric::restartAgent(size_t index)
+{
+    for (auto& [port, flow] : m_flows)
+        flow.elsewhere = flow.target == index ? 0 : flow.elsewhere;
+    m_agents[index]->start();
+    m_agents[index]->steering->setState(m_agents[index]->routes, m_out);
+}
+
+void Fabric::losePower()
+{
+    for (size_t i = 0; i < agentCount(); ++i) {
+        loseTarget(i);
+        restartAgent(i);
+        beat(i);
+    }
+    for (auto& entry : m_entries) {
+        entry->start(); // callers reach it before its state does
+        if (m_random.below(2) == 0)
+            entry->steering->setState(m_routes, m_out);
+    }
+    m_confirmations.clear();
+}
+
+} // namespace cicadaward::steering
--- a/libs/steering/fabric_simulation.cc
+++ b/libs/steering/fabric_simulation.cc
@@ -9,30 +9,45 @@
 namespace {
 
     // No configuration ever sends the first address to the archive or the second one to the hub.
-    const ServiceKey services[] = { serviceKey("hub"), serviceKey("catalogue"), serviceKey("archive") };
     const Endpoint addresses[] = { { 0xC6120001, 443 }, { 0xC6120002, 443 } };
-    const ServiceKey servicesOf[][2] = { { services[0], services[1] }, { services[1], services[2] } };
+    const ServiceKey servicesOf[][2]
+        = { { fabricServices[0], fabricServices[1] }, { fabricServices[1], fabricServices[2] } };
     constexpr Duration stepLength = 5ms;
     // A flow that is tried this often without reaching its target counts as broken.
     constexpr int maxTries = 12;
     constexpr uint16_t requestBytes = 20;
+    // So many packets at other targets within this time, and none at its own, break a flow.
+    constexpr int maxElsewhere = 3;
+    constexpr Duration elsewhereLimit = 2s;
+    constexpr uint64_t longestBounce = 500; // milliseconds, of a slow target
 
 } // namespace
 
-Fabric::Fabric(uint64_t seed)
-    : m_random(seed)
+Fabric::Fabric(uint64_t seed, FabricOptions options)
+    : m_options(options)
+    , m_random(seed)
     , m_registerSteps(m_random.below(3) == 0 ? 100 : 4)
 {
-    for (size_t i = 0; i < entryCount; ++i)
+    for (size_t i = 0; i < m_options.entries; ++i)
         m_entries.push_back(std::make_unique<EntryNode>(*this, i));
-    for (size_t i = 0; i < agentCount; ++i) {
-        m_agents.push_back(std::make_unique<AgentNode>(*this, i));
+    std::array<size_t, 3> left = m_options.targets;
+    for (size_t i = 0; left != std::array<size_t, 3> {}; ++i) {
+        if (left[i % 3] == 0)
+            continue;
+        --left[i % 3];
+        m_agents.push_back(std::make_unique<AgentNode>(*this, m_targets.size()));
         m_targets.push_back({});
-        m_targets[i].service = services[i % 3];
+        m_targets.back().service = fabricServices[i % 3];
     }
+    m_faults.resize(m_options.entries + agentCount());
     applyRoutes();
-    for (size_t i = 0; i < agentCount; ++i)
-        beat(i);
+    for (size_t i = 0; i < agentCount(); ++i) {
+        bool isAdded = m_options.processFaults && m_random.below(10) == 0;
+        if (isAdded)
+            kill(m_options.entries + i, std::chrono::milliseconds(m_random.below(4000)));
+        else
+            beat(i);
+    }
 }
 
 std::string Fabric::run()
@@ -41,16 +56,16 @@
         m_clock.advance(stepLength);
         if (m_random.below(4) == 0)
             openFlow();
-        if (m_random.below(60) == 0)
+        if (m_random.below(m_options.stepsPerFault) == 0)
             disturb();
+        if (m_options.processFaults && m_random.below(m_options.stepsPerFault) == 0)
+            disturbProcesses();
+        endFaults();
         deliver();
         answer();
-        for (auto& entry : m_entries)
-            entry->steering->onTick();
-        for (auto& agent : m_agents)
-            agent->steering->onTick();
+        tick();
         if (step % 200 == 0) { // each second
-            for (size_t i = 0; i < agentCount; ++i)
+            for (size_t i = 0; i < agentCount(); ++i)
                 beat(i);
         }
         // An entry is behind for 400 ms at most: its next poll brings the state.
@@ -69,7 +84,7 @@
     if (m_random.below(50) == 0)
         return;
     m_network.push({ m_clock.now() + std::chrono::milliseconds(m_random.below(4)), ++m_order, to.address - 0x0A000000,
-        endpoint(from), std::move(bytes) });
+        false, endpoint(from), std::move(bytes) });
 }
 
 void Fabric::deliver()
@@ -77,17 +92,50 @@
     while (!m_network.empty() && m_network.top().due <= m_clock.now()) {
         FabricPacket packet = m_network.top();
         m_network.pop();
-        if (packet.to < entryCount)
-            m_entries[packet.to]->steering->onFrame(packet.from, packet.bytes.data(), packet.bytes.size());
-        else
-            m_agents[packet.to - entryCount]->steering->onFrame(packet.from, packet.bytes.data(), packet.bytes.size());
+        const Fault& fault = m_faults[packet.to];
+        if (fault.down)
+            continue;
+        if (fault.frozenUntil > m_clock.now()) {
+            packet.due = fault.frozenUntil;
+            m_network.push(std::move(packet));
+            continue;
+        }
+        deliver(packet);
+    }
+}
+
+void Fabric::deliver(FabricPacket& packet)
+{
+    if (packet.to < m_options.entries) {
+        m_entries[packet.to]->steering->onFrame(packet.from, packet.bytes.data(), packet.bytes.size());
+        return;
+    }
+    AgentSteering& agent = *m_agents[packet.to - m_options.entries]->steering;
+    if (packet.fromTarget)
+        agent.onTargetPacket(packet.bytes.data(), packet.bytes.size());
+    else
+        agent.onFrame(packet.from, packet.bytes.data(), packet.bytes.size());
+}
+
+void Fabric::tick()
+{
+    for (auto& entry : m_entries) {
+        if (isWorking(m_faults[entry->index]))
+            entry->steering->onTick();
+    }
+    for (auto& agent : m_agents) {
+        if (isWorking(agentFault(agent->index)))
+            agent->steering->onTick();
     }
 }
 
 void Fabric::fromCaller(const FlowPacket& packet)
 {
+    size_t entry = m_random.below(m_options.entries);
+    if (!isWorking(m_faults[entry]))
+        return;
     std::vector<uint8_t> bytes = FakeFormat::encode(packet);
-    m_entries[m_random.below(entryCount)]->steering->onCallerPacket(bytes.data(), bytes.size());
+    m_entries[entry]->steering->onCallerPacket(bytes.data(), bytes.size());
 }
 
 void Fabric::openFlow()
@@ -113,12 +161,18 @@
             continue;
         }
         flow.nextPacket = m_clock.now() + 200ms;
+        flow.countedElsewhere = false;
+        if (!isWorking(agentFault(flow.target)) && !flow.lost) {
+            flow.tries = 0;
+            flow.elsewhere = 0;
+        }
         if (++flow.tries > maxTries && flow.lost)
             flow.reset = true; // the caller's deadline
         else if (flow.tries > maxTries)
             m_violation = "flow " + std::to_string(port) + " no longer reaches its target";
         FlowPacket packet = dataPacket(flow.id, flow.asked ? 0 : requestBytes);
         packet.sequence = flow.sequence;
+        packet.acknowledged = flow.acknowledged;
         fromCaller(packet);
     }
 }
@@ -132,19 +186,21 @@
     if (flow == m_flows.end())
         return;
     if (packet.syn) {
-        if (!mayOpen(index, packet.flow))
+        bool isCopy = target.flows.count(packet.flow.caller.port) != 0;
+        if (!isCopy && !mayOpen(index, packet.flow))
             m_violation = "a new flow at a target that must not take it";
         target.flows.emplace(packet.flow.caller.port, false);
         FlowPacket answer;
         answer.flow = packet.flow;
         answer.syn = answer.ack = true;
+        answer.sequence = static_cast<uint32_t>(m_random.next());
         fromTarget(index, answer);
         return;
     }
-    bool open = flow->second.target == index && target.flows.count(packet.flow.caller.port) != 0;
-    if (open) {
+    if (flow->second.target == index && isOpenAt(index, packet.flow.caller.port)) {
         ++m_delivered;
         flow->second.tries = 0;
+        flow->second.elsewhere = 0;
         if (packet.length > 0 && packet.sequence == flow->second.sequence) {
             flow->second.sequence += packet.length;
             flow->second.asked = true;
@@ -152,8 +208,47 @@
         }
         return;
     }
+    noteElsewhere(packet.flow.caller.port, flow->second);
+    bounce(index, packet);
+}
+
+bool Fabric::isOpenAt(size_t index, uint16_t port) const
+{
+    auto found = m_targets[index].flows.find(port);
+    return found != m_targets[index].flows.end() && found->second;
+}
+
+// A packet that waits at the flow's own agent has found its way.
+void Fabric::noteWaiting(size_t index, uint16_t port)
+{
+    ++m_waited;
+    auto found = m_flows.find(port);
+    if (found != m_flows.end() && found->second.target == index)
+        found->second.tries = 0;
+}
+
+void Fabric::noteElsewhere(uint16_t port, Flow& flow)
+{
+    if (flow.target == SIZE_MAX || flow.lost || flow.reset || flow.countedElsewhere)
+        return;
+    flow.countedElsewhere = true;
+    if (flow.elsewhere++ == 0)
+        flow.elsewhereSince = m_clock.now();
+    if (flow.elsewhere >= maxElsewhere && m_clock.now() - flow.elsewhereSince >= elsewhereLimit)
+        m_violation = "packets of flow " + std::to_string(port) + " reach other targets only";
+}
+
+void Fabric::bounce(size_t index, FlowPacket packet)
+{
     packet.bounced = true;
-    fromTarget(index, packet);
+    if (m_targets[index].slowUntil <= m_clock.now()) {
+        fromTarget(index, packet);
+        return;
+    }
+    if (m_random.below(20) == 0)
+        return;
+    m_network.push({ m_clock.now() + std::chrono::milliseconds(m_random.below(longestBounce)), ++m_order,
+        m_options.entries + index, true, {}, FakeFormat::encode(packet) });
 }
 
 void Fabric::answer()
@@ -172,7 +267,10 @@
 void Fabric::fromTarget(size_t index, const FlowPacket& packet)
 {
     std::vector<uint8_t> bytes = FakeFormat::encode(packet);
-    m_agents[index]->steering->onTargetPacket(bytes.data(), bytes.size());
+    if (isWorking(agentFault(index)))
+        m_agents[index]->steering->onTargetPacket(bytes.data(), bytes.size());
+    else
+        m_network.push({ m_clock.now(), ++m_order, m_options.entries + index, true, {}, std::move(bytes) });
 }
 
 void Fabric::atCaller(const FlowId& id, const std::vector<uint8_t>& bytes, size_t index)
@@ -184,7 +282,7 @@
         return;
     Flow& flow = found->second;
     if (packet.reset) {
-        bool held = flow.target != SIZE_MAX && m_targets[flow.target].flows.count(id.caller.port) != 0;
+        bool held = flow.target != SIZE_MAX && isOpenAt(flow.target, id.caller.port);
         if (held)
             m_violation = "open flow " + std::to_string(id.caller.port) + " was reset by "
                 + (index == SIZE_MAX ? "an entry" : "the agent " + std::to_string(index));
@@ -193,6 +291,7 @@
         flow.reset = true;
     } else if (packet.syn && flow.target == SIZE_MAX && !flow.reset) {
         flow.target = index; // the caller acknowledges the first answer
+        flow.acknowledged = packet.sequence + 1;
         m_targets[index].flows[id.caller.port] = true;
         flow.nextPacket = m_clock.now();
         ++m_opened;
@@ -245,6 +344,8 @@
 void Fabric::tendRegister()
 {
     for (auto& agent : m_agents) {
+        if (!isWorking(agentFault(agent->index)))
+            continue;
         const MemberRecord& record = agent->steering->record();
         auto found = m_register.find(record.agent);
         bool listed = found != m_register.end() && found->second.isSameStart(record);
@@ -270,9 +371,12 @@
             ++i;
             continue;
         }
+        bool isWorkingEntry = isWorking(m_faults[i->first]);
         EntrySteering& entry = *m_entries[i->first]->steering;
         Confirmation confirmation = std::move(i->second);
         i = m_confirmations.erase(i);
+        if (!isWorkingEntry)
+            continue;
         if (confirmation.routes.version() > entry.routes().version())
             entry.setState(confirmation.routes, m_out);
         for (auto& [agent, registered] : confirmation.members) {
@@ -288,14 +392,23 @@
 {
     for (auto& entry : m_entries) {
         for (auto& agent : m_agents) {
-            if (m_random.below(20) == 0)
-                entry->steering->members().update(agent->steering->record());
+            if (m_random.below(20) == 0 && isWorking(agentFault(agent->index)))
+                announce(*agent, *entry);
         }
     }
 }
 
+// An agent announces itself once it knows its target.
+void Fabric::announce(AgentNode& agent, EntryNode& entry)
+{
+    if (agent.steering->record().service != ServiceKey())
+        entry.steering->members().update(agent.steering->record());
+}
+
 void Fabric::beat(size_t index)
 {
+    if (!isWorking(agentFault(index)))
+        return;
     Target& target = m_targets[index];
     Heartbeat heartbeat;
     heartbeat.id = "t-" + std::to_string(index);
@@ -307,101 +420,4 @@
     m_agents[index]->steering->onHeartbeat(heartbeat);
 }
 
-void Fabric::disturb()
-{
-    size_t agent = m_random.below(agentCount);
-    switch (m_random.below(10)) {
-    case 0: // the planned restart of an entry: empty, but with state and members before it is ready
-    {
-        EntryNode& entry = *m_entries[m_random.below(entryCount)];
-        entry.start();
-        entry.steering->setState(m_routes, m_out);
-        for (auto& other : m_agents)
-            entry.steering->members().update(other->steering->record());
-        break;
-    }
-    case 1:
-        restartAgent(agent);
-        beat(agent);
-        break;
-    case 2:
-        m_targets[agent].draining = !m_targets[agent].draining;
-        if (!m_targets[agent].draining) {
-            loseTarget(agent); // ready again only as a new start
-        }
-        beat(agent);
-        break;
-    case 3: // crash; the address may go to another service
-        m_targets[agent].service = services[m_random.below(3)];
-        loseTarget(agent);
-        beat(agent);
-        break;
-    case 6: // departs; another target starts there at once or after the next heartbeats were due
-        m_agents[agent]->steering->onDeparture("t-" + std::to_string(agent));
-        loseTarget(agent);
-        m_targets[agent].service = services[m_random.below(3)];
-        if (m_random.below(2) == 0)
-            beat(agent);
-        break;
-    case 7: // an agent restarts with its target
-        loseTarget(agent);
-        restartAgent(agent);
-        beat(agent);
-        break;
-    case 8:
-        if (m_random.below(4) == 0)
-            losePower();
-        break;
-    case 4:
-        applyRoutes();
-        break;
-    case 5:
-        if (m_out.empty())
-            m_out.insert("dc-" + std::to_string(m_random.below(3)));
-        else
-            m_out.clear();
-        shareState(false);
-        break;
-    default:
-        break;
-    }
-}
-
-void Fabric::loseTarget(size_t index)
-{
-    m_targets[index].born += 1;
-    m_targets[index].sequence = 0;
-    m_targets[index].draining = false;
-    for (auto& [port, open] : m_targets[index].flows) {
-        auto found = m_flows.find(port);
-        if (found == m_flows.end() || found->second.target != index || found->second.reset)
-            continue;
-        found->second.lost = true;
-        found->second.tries = 0;
-        ++m_lost;
-    }
-    m_targets[index].flows.clear();
-}
-
-void Fabric::restartAgent(size_t index)
-{
-    m_agents[index]->start();
-    m_agents[index]->steering->setState(m_agents[index]->routes, m_out);
-}
-
-void Fabric::losePower()
-{
-    for (size_t i = 0; i < agentCount; ++i) {
-        loseTarget(i);
-        restartAgent(i);
-        beat(i);
-    }
-    for (auto& entry : m_entries) {
-        entry->start(); // callers reach it before its state does
-        if (m_random.below(2) == 0)
-            entry->steering->setState(m_routes, m_out);
-    }
-    m_confirmations.clear();
-}
-
 } // namespace cicadaward::steering
--- a/libs/steering/fabric_simulation.h
+++ b/libs/steering/fabric_simulation.h
@@ -1,11 +1,15 @@
 // Entries and agents on a simulated fabric, driven by a seed: packets are lost, delayed and spread over entries;
 // entries and agents restart empty; targets drain, depart and are replaced; routes move between services; all processes
 // lose power at once. A slow, obvious model says which target holds each flow.
+//
+// With `processFaults`, processes are also killed, frozen, slowed and added, entries are restarted in turn, the targets
+// of a service are replaced one after the other, and targets return packets late or not at all; these faults overlap.
 #pragma once
 
 #include "core/random.h"
 #include "steering/test_fabric.h"
 
+#include <array>
 #include <map>
 #include <memory>
 #include <queue>
@@ -14,13 +18,21 @@
 
 namespace cicadaward::steering {
 
-constexpr size_t entryCount = 3;
-constexpr size_t agentCount = 7;
+inline const std::array<ServiceKey, 3> fabricServices { serviceKey("hub"), serviceKey("catalogue"),
+    serviceKey("archive") };
+
+struct FabricOptions {
+    size_t entries = 3;
+    std::array<size_t, 3> targets { 3, 2, 2 }; // of each service
+    bool processFaults = false;
+    uint64_t stepsPerFault = 60; // mean
+};
 
 struct FabricPacket {
     Time due;
     uint64_t order;
-    size_t to; // entry 0.., agent entryCount.., target entryCount + agentCount..
+    size_t to; // process: entries first, then agents
+    bool fromTarget; // to an agent from its own target; otherwise a frame
     Endpoint from;
     std::vector<uint8_t> bytes;
     bool operator<(const FabricPacket& other) const { return std::tie(other.due, other.order) < std::tie(due, order); }
@@ -28,7 +40,7 @@
 
 class Fabric {
 public:
-    explicit Fabric(uint64_t seed);
+    explicit Fabric(uint64_t seed, FabricOptions = {});
 
     // Plays 7.5 s. Returns the first violation, or nothing.
     std::string run();
@@ -45,16 +57,27 @@
         uint64_t sequence = 0;
         bool draining = false;
         std::map<uint16_t, bool> flows; // by the caller's port; true: open
+        Time slowUntil; // returns packets late or not at all
+    };
+    // What is wrong with the process of an entry or agent.
+    struct Fault {
+        Time downUntil; // it drops what comes, and starts anew
+        Time frozenUntil; // what comes waits
+        bool down = false;
     };
     struct Flow {
         FlowId id;
         size_t target = SIZE_MAX; // that holds it
         int tries = 0; // packets in a row that did not reach the target
+        int elsewhere = 0; // of these: reached another target, while nothing was wrong with the flow's own agent
+        Time elsewhereSince;
+        bool countedElsewhere = false; // the newest packet
         Time nextPacket;
         bool reset = false;
         bool lost = false; // its target has ended; the caller does not know
         bool asked = false; // a request has no answer yet
         uint32_t sequence = 1; // of the next data
+        uint32_t acknowledged = 0;
         uint8_t copies = 0;
     };
     // What the leader confirms: the state at the time of the question.
@@ -100,7 +123,7 @@
         void start()
         {
             AgentOptions options;
-            options.self = fabric.endpoint(entryCount + index);
+            options.self = fabric.endpoint(fabric.m_options.entries + index);
             options.dataCentre = "dc-" + std::to_string(index % 3);
             options.incarnation = ++incarnation;
             steering = std::make_unique<AgentSteering>(options, fabric.m_format, fabric.m_clock,
@@ -108,7 +131,7 @@
         }
         void sendFrame(Endpoint to, const std::vector<uint8_t>& frame) override
         {
-            fabric.send(entryCount + index, to, frame);
+            fabric.send(fabric.m_options.entries + index, to, frame);
         }
         void sendToTarget(const uint8_t* packet, size_t size) override
         {
@@ -118,9 +141,10 @@
         {
             fabric.atCaller(flow, { packet, packet + size }, index);
         }
-        void decided(Decision decision, const FlowId&, const DecisionInputs&) override
+        void decided(Decision decision, const FlowId& flow, const DecisionInputs&) override
         {
-            fabric.m_waited += decision == Decision::Waiting ? 1 : 0;
+            if (decision == Decision::Waiting)
+                fabric.noteWaiting(index, flow.caller.port);
         }
         void took(Latency, Duration) override { }
         Fabric& fabric;
@@ -132,15 +156,25 @@
 
     Endpoint endpoint(size_t index) const { return { 0x0A000000 + static_cast<uint32_t>(index), 8172 }; }
 
+    size_t agentCount() const { return m_targets.size(); }
+    Fault& agentFault(size_t index) { return m_faults[m_options.entries + index]; }
+    bool isWorking(const Fault& fault) const { return !fault.down && fault.frozenUntil <= m_clock.now(); }
+
     void send(size_t from, Endpoint to, std::vector<uint8_t> bytes);
     void deliver();
+    void deliver(FabricPacket&);
+    void tick();
     void fromCaller(const FlowPacket& packet);
     void openFlow();
     // Callers repeat a SYN twice and then send data at intervals.
     void talk();
     void atTarget(size_t index, std::vector<uint8_t> bytes);
+    bool isOpenAt(size_t index, uint16_t port) const;
+    void noteWaiting(size_t index, uint16_t port);
+    void noteElsewhere(uint16_t port, Flow&);
     void answer();
     void fromTarget(size_t index, const FlowPacket& packet);
+    void bounce(size_t index, FlowPacket packet);
     void atCaller(const FlowId& id, const std::vector<uint8_t>& bytes, size_t index);
     bool mayOpen(size_t index, const FlowId& flow) const;
     void applyRoutes();
@@ -154,18 +188,30 @@
     // The leader's answer brings the newest state and all registered members at the time of the question.
     void confirm();
     void shareRecords();
+    void announce(AgentNode&, EntryNode&);
     void beat(size_t index);
     void disturb();
+    // Faults of `processFaults`.
+    void disturbProcesses();
+    void kill(size_t process, Duration);
+    void freeze(size_t process, Duration);
+    void endFaults();
+    void replaceNext();
+    void startEntry(size_t index);
     void loseTarget(size_t index);
     void restartAgent(size_t index);
     void losePower();
 
+    const FabricOptions m_options;
     Random m_random;
     ManualClock m_clock;
     FakeFormat m_format;
     std::vector<std::unique_ptr<EntryNode>> m_entries;
     std::vector<std::unique_ptr<AgentNode>> m_agents;
     std::vector<Target> m_targets;
+    std::vector<Fault> m_faults; // by process
+    std::vector<size_t> m_toReplace; // targets of a service that is replaced, the next one last
+    std::vector<size_t> m_toRestart; // entries that are restarted in turn, the next one last
     std::map<uint16_t, Flow> m_flows;
     std::multimap<Time, FlowId> m_answers; // by the time when the target has done the work
     std::priority_queue<FabricPacket> m_network;
--- /dev/null
+++ b/libs/steering/flow_search.cc
@@ -0,0 +1,172 @@
+#include "steering/flow_search.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace cicadaward::steering {
+
+FlowSearches::FlowSearches(SearchOptions options, const Clock& clock, const Members& members)
+    : m_options(options)
+    , m_clock(clock)
+    , m_members(members)
+{
+}
+
+SearchStep FlowSearches::next(const FlowId& flow, const Route& route, Endpoint first)
+{
+    Search* current = search(flow);
+    if (!current) // too many searches: each packet starts anew and nothing is remembered
+        return walk(flow, route, Search(), first);
+    if (isOverdue(*current))
+        return broadcast(flow, route, *current);
+    return walk(flow, route, *current, first);
+}
+
+bool FlowSearches::isOverdue(const Search& search) const
+{
+    Time now = m_clock.now();
+    if (search.broadcasts != 0 && now - search.lastBroadcast < m_options.broadcastInterval)
+        return false;
+    return now - search.lastWalk >= (search.denied.empty() ? m_options.answerLimit : m_options.longWalkLimit);
+}
+
+SearchStep FlowSearches::repeat(const FlowId& flow, const Route& route, Time sent)
+{
+    SearchStep step;
+    auto found = m_searches.find(flow);
+    if (found == m_searches.end() || !isOverdue(found->second) || m_clock.now() - sent >= m_options.repeatLimit)
+        return step;
+    uint64_t hash = flow.hash();
+    step.probes = m_members.forOldFlow(
+        hash, route, route.draw(hash), m_options.front, MemberOrder::ByFlow, &found->second.denied);
+    return step;
+}
+
+SearchStep FlowSearches::denied(
+    const FlowId& flow, const Route& route, const std::vector<Endpoint>& members, bool isCertain)
+{
+    Search* current = search(flow);
+    if (!current)
+        return {};
+    current->isCertain = current->isCertain && isCertain;
+    current->lastWalk = m_clock.now();
+    for (Endpoint member : members) {
+        if (m_denials >= m_options.maxDenials) {
+            current->isCertain = false;
+            return {};
+        }
+        m_denials += current->denied.insert(member).second ? 1 : 0;
+    }
+    return walk(flow, route, *current, {});
+}
+
+std::optional<Duration> FlowSearches::found(const FlowId& flow)
+{
+    auto found = m_searches.find(flow);
+    if (found == m_searches.end())
+        return std::nullopt;
+    Duration duration = m_clock.now() - found->second.started;
+    erase(found);
+    return duration;
+}
+
+std::vector<Endpoint> FlowSearches::take(const FlowId& flow)
+{
+    auto found = m_searches.find(flow);
+    if (found == m_searches.end())
+        return {};
+    std::vector<Endpoint> members;
+    if (found->second.isCertain)
+        members.assign(found->second.denied.begin(), found->second.denied.end());
+    erase(found);
+    return members;
+}
+
+void FlowSearches::forget(const FlowId& flow)
+{
+    auto found = m_searches.find(flow);
+    if (found != m_searches.end())
+        erase(found);
+}
+
+void FlowSearches::expire()
+{
+    for (auto i = m_searches.begin(); i != m_searches.end();) {
+        auto search = i++;
+        if (m_clock.now() - search->second.started > m_options.retention)
+            erase(search);
+    }
+}
+
+// The search that is under way, or a new one; null when there are too many.
+FlowSearches::Search* FlowSearches::search(const FlowId& flow)
+{
+    auto found = m_searches.find(flow);
+    if (found != m_searches.end() && m_clock.now() - found->second.started <= m_options.retention)
+        return &found->second;
+    if (found != m_searches.end())
+        erase(found);
+    if (m_searches.size() >= m_options.maxSearches)
+        return nullptr;
+    Search& created = m_searches[flow];
+    created.started = created.lastWalk = m_clock.now();
+    return &created;
+}
+
+SearchStep FlowSearches::walk(const FlowId& flow, const Route& route, const Search& search, Endpoint first) const
+{
+    SearchStep step;
+    uint64_t hash = flow.hash();
+    ServiceKey service = route.draw(hash);
+    size_t limit = search.denied.empty() ? m_options.firstWalk : maxFrameMembers;
+    step.walk = m_members.forOldFlow(hash, route, service, limit, MemberOrder::ResponsiveFirst, &search.denied);
+    if (first.port != 0) {
+        step.walk.erase(std::remove(step.walk.begin(), step.walk.end(), first), step.walk.end());
+        step.walk.insert(step.walk.begin(), first);
+        step.walk.resize(std::min(step.walk.size(), limit));
+    }
+    for (Endpoint member :
+        m_members.forOldFlow(hash, route, service, m_options.front, MemberOrder::ByFlow, &search.denied)) {
+        bool isWalked = std::find(step.walk.begin(), step.walk.end(), member) != step.walk.end();
+        if (!isWalked && !m_members.isResponsive(member))
+            step.probes.push_back(member);
+    }
+    return step;
+}
+
+SearchStep FlowSearches::broadcast(const FlowId& flow, const Route& route, Search& search) const
+{
+    search.lastBroadcast = m_clock.now();
+    unsigned turn = search.broadcasts++;
+    SearchStep step;
+    step.isBroadcast = true;
+    uint64_t hash = flow.hash();
+    std::vector<Endpoint> all = m_members.forOldFlow(
+        hash, route, route.draw(hash), std::numeric_limits<size_t>::max(), MemberOrder::ByFlow, nullptr);
+    size_t front = std::min(m_options.front, all.size());
+    step.probes.assign(all.begin(), all.begin() + front);
+    for (size_t at = front; at < all.size(); at += maxFrameMembers) {
+        SearchStep::Group group;
+        group.members.assign(all.begin() + at, all.begin() + std::min(at + maxFrameMembers, all.size()));
+        // Another one each time: it may be the one that does not answer.
+        std::vector<Endpoint> responsive;
+        std::copy_if(group.members.begin(), group.members.end(), std::back_inserter(responsive),
+            [this](Endpoint member) { return m_members.isResponsive(member); });
+        const std::vector<Endpoint>& choice = responsive.empty() ? group.members : responsive;
+        group.via = choice[(hash + turn) % choice.size()];
+        step.groups.push_back(group);
+        if (turn == 0 || choice.size() == 1)
+            continue;
+        group.via = choice[(hash + turn + choice.size() / 2) % choice.size()];
+        step.groups.push_back(std::move(group));
+    }
+    return step;
+}
+
+void FlowSearches::erase(absl::flat_hash_map<FlowId, Search>::iterator search)
+{
+    m_denials -= search->second.denied.size();
+    m_searches.erase(search);
+}
+
+} // namespace cicadaward::steering
--- /dev/null
+++ b/libs/steering/flow_search_test.cc
@@ -0,0 +1,169 @@
+#include "steering/flow_search.h"
+#include "steering/test_fabric.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace cicadaward;
+using namespace cicadaward::steering;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct SearchFixture {
+    explicit SearchFixture(uint32_t count, SearchOptions searchOptions = {})
+        : options(searchOptions)
+    {
+        for (uint32_t i = 1; i <= count; ++i)
+            members.update(memberNumber(i));
+    }
+    std::vector<Endpoint> order() const
+    {
+        return members.forOldFlow(flow.hash(), route, hub, 10000, MemberOrder::ByFlow);
+    }
+
+    SearchOptions options;
+    ManualClock clock;
+    Members members { clock };
+    FlowSearches searches { options, clock, members };
+    FlowId flow = flowNumber(1);
+    Route route = routeOf(serviceAddress, { { hub, 1 } });
+};
+
+} // namespace
+
+// Guards against a bound on the members that a search reaches: a flow beyond it would never be found or reset.
+TEST_CASE("search: walks go on until every member of a large service has been asked once", "[search]")
+{
+    for (uint32_t count : { 1U, 16U, 17U, 109U, 1000U }) {
+        SearchFixture fixture(count);
+        std::set<Endpoint> asked;
+        SearchStep step = fixture.searches.next(fixture.flow, fixture.route, {});
+        CHECK(step.walk.size() == std::min<size_t>(count, fixture.options.firstWalk));
+        while (!step.isExhausted()) {
+            CHECK(step.walk.size() <= maxFrameMembers);
+            for (Endpoint member : step.walk)
+                CHECK(asked.insert(member).second);
+            step = fixture.searches.denied(fixture.flow, fixture.route, step.walk, true);
+        }
+        CHECK(asked.size() == count);
+        CHECK(fixture.searches.take(fixture.flow).size() == count);
+        CHECK(fixture.searches.size() == 0);
+    }
+}
+
+// Guards against a flow whose agent was suspected wrongly and would be asked after all others.
+TEST_CASE("search: members near the front that do not answer get a copy of their own", "[search]")
+{
+    SearchFixture fixture(109);
+    Endpoint home = fixture.order()[1];
+    fixture.members.suspect(home, 1s);
+    SearchStep step = fixture.searches.next(fixture.flow, fixture.route, {});
+    CHECK(std::find(step.walk.begin(), step.walk.end(), home) == step.walk.end());
+    CHECK(step.probes == std::vector<Endpoint> { home });
+
+    fixture.members.suspect(fixture.order()[50], 1s); // not near the front: no copy
+    CHECK(fixture.searches.next(flowNumber(2), fixture.route, {}).probes.size() <= 2);
+}
+
+// Guards against frames for a thin link that grow with the service.
+TEST_CASE("search: a broadcast reaches all members with few frames", "[search]")
+{
+    SearchFixture fixture(1000);
+    fixture.searches.next(fixture.flow, fixture.route, {});
+    fixture.clock.advance(30ms);
+    SearchStep first = fixture.searches.next(fixture.flow, fixture.route, {});
+    REQUIRE(first.isBroadcast);
+    CHECK(first.walk.empty());
+    CHECK(first.probes.size() == fixture.options.front);
+    CHECK(first.groups.size() == 16);
+    std::set<Endpoint> reached(first.probes.begin(), first.probes.end());
+    for (const SearchStep::Group& group : first.groups) {
+        CHECK(group.members.size() <= maxFrameMembers);
+        CHECK(std::find(group.members.begin(), group.members.end(), group.via) != group.members.end());
+        reached.insert(group.members.begin(), group.members.end());
+    }
+    CHECK(reached.size() == 1000);
+
+    CHECK_FALSE(fixture.searches.next(fixture.flow, fixture.route, {}).isBroadcast); // not more often than its interval
+    fixture.clock.advance(100ms);
+    SearchStep second = fixture.searches.next(fixture.flow, fixture.route, {});
+    REQUIRE(second.isBroadcast);
+    CHECK(second.groups[0].via != first.groups[0].via); // the first one may be the one that does not answer
+}
+
+// Guards against copies for each member of a service while a slow target has the packet, and against packets that an
+// entry keeps over a freeze.
+TEST_CASE("search: an entry repeats a packet to the front only, and no old one", "[search]")
+{
+    SearchFixture fixture(109);
+    SearchStep walk = fixture.searches.next(fixture.flow, fixture.route, {});
+    Time sent = fixture.clock.now();
+    fixture.clock.advance(29ms);
+    CHECK(fixture.searches.repeat(fixture.flow, fixture.route, sent).isExhausted());
+    fixture.clock.advance(1ms);
+    SearchStep step = fixture.searches.repeat(fixture.flow, fixture.route, sent);
+    CHECK(step.probes.size() == fixture.options.front);
+    CHECK(step.groups.empty());
+    fixture.clock.advance(120ms);
+    CHECK(fixture.searches.repeat(fixture.flow, fixture.route, sent).isExhausted());
+    // Members that have denied the flow are not asked again.
+    fixture.searches.denied(fixture.flow, fixture.route, walk.walk, true);
+    sent = fixture.clock.now();
+    fixture.clock.advance(100ms);
+    for (Endpoint member : fixture.searches.repeat(fixture.flow, fixture.route, sent).probes)
+        CHECK(std::find(walk.walk.begin(), walk.walk.end(), member) == walk.walk.end());
+}
+
+TEST_CASE("search: the agent that was known is asked first", "[search]")
+{
+    SearchFixture fixture(20);
+    Endpoint known = fixture.order()[12];
+    SearchStep step = fixture.searches.next(fixture.flow, fixture.route, known);
+    REQUIRE(step.walk.size() == fixture.options.firstWalk);
+    CHECK(step.walk[0] == known);
+    CHECK(std::set<Endpoint>(step.walk.begin(), step.walk.end()).size() == step.walk.size());
+}
+
+TEST_CASE("search: an uncertain denial proves nothing", "[search]")
+{
+    SearchFixture fixture(20);
+    SearchStep step = fixture.searches.next(fixture.flow, fixture.route, {});
+    step = fixture.searches.denied(fixture.flow, fixture.route, step.walk, false);
+    step = fixture.searches.denied(fixture.flow, fixture.route, step.walk, true);
+    CHECK(step.isExhausted());
+    CHECK(fixture.searches.take(fixture.flow).empty());
+}
+
+TEST_CASE("search: a flow that is found has no search, and the time it took is known", "[search]")
+{
+    SearchFixture fixture(20);
+    CHECK_FALSE(fixture.searches.found(fixture.flow));
+    fixture.searches.next(fixture.flow, fixture.route, {});
+    fixture.clock.advance(7ms);
+    CHECK(fixture.searches.found(fixture.flow) == std::optional<Duration>(7ms));
+    CHECK_FALSE(fixture.searches.isSearched(fixture.flow));
+}
+
+// Guards against memory that grows with flows that nobody holds. Such a flow is still searched for, but never reset.
+TEST_CASE("search: searches and denials are bounded and expire", "[search]")
+{
+    SearchOptions options;
+    options.maxSearches = 10;
+    options.maxDenials = 50;
+    SearchFixture fixture(20, options);
+    for (uint16_t i = 0; i < 30; ++i) {
+        SearchStep step = fixture.searches.next(flowNumber(i), fixture.route, {});
+        CHECK(step.walk.size() == options.firstWalk);
+        while (!step.isExhausted())
+            step = fixture.searches.denied(flowNumber(i), fixture.route, step.walk, true);
+    }
+    CHECK(fixture.searches.size() == 10);
+    CHECK(fixture.searches.take(flowNumber(0)).size() == 20);
+    CHECK(fixture.searches.take(flowNumber(5)).empty()); // some denials could not be kept
+    fixture.clock.advance(2001ms);
+    fixture.searches.expire();
+    CHECK(fixture.searches.size() == 0);
+    SearchStep step = fixture.searches.next(flowNumber(0), fixture.route, {});
+    CHECK(fixture.searches.denied(flowNumber(0), fixture.route, step.walk, true).walk.size() == 4);
+}
--- a/libs/steering/members.cc
+++ b/libs/steering/members.cc
@@ -50,16 +50,23 @@
 {
     auto found = m_members.find(record.agent);
     if (found == m_members.end()) {
-        if (m_members.size() >= maxMembers)
+        if (m_members.size() >= maxMembers) {
+            ++m_refused;
             return false;
-        m_members.emplace(record.agent, Entry { record, m_clock.now(), {}, 0 });
+        }
+        index(m_members.emplace(record.agent, Entry { record, m_clock.now(), {}, 0 }).first->second);
         return true;
     }
     if (!record.isNewerThan(found->second.record))
         return false;
     bool restarted = record.incarnation != found->second.record.incarnation;
+    bool moves = record.service != found->second.record.service;
+    if (moves)
+        unindex(found->second);
     found->second.record = record;
     found->second.updated = m_clock.now();
+    if (moves)
+        index(found->second);
     if (restarted)
         found->second.suspectUntil = {};
     return true;
@@ -89,17 +96,44 @@
     for (auto i = m_members.begin(); i != m_members.end();) {
         TargetState state = i->second.record.state;
         bool gone = state == TargetState::Gone || state == TargetState::Departed;
-        if (gone && m_clock.now() - i->second.updated > memberRetention)
-            m_members.erase(i++);
-        else
+        if (!gone || m_clock.now() - i->second.updated <= memberRetention) {
             ++i;
+            continue;
+        }
+        unindex(i->second);
+        m_members.erase(i++);
     }
 }
 
-bool Members::knowsService(ServiceKey service) const
+void Members::index(const Entry& entry) { m_byService[entry.record.service].push_back(&entry); }
+
+void Members::unindex(const Entry& entry)
+{
+    auto found = m_byService.find(entry.record.service);
+    std::vector<const Entry*>& members = found->second;
+    members.erase(std::find(members.begin(), members.end(), &entry));
+    if (members.empty())
+        m_byService.erase(found);
+}
+
+const std::vector<const Members::Entry*>* Members::ofService(ServiceKey service) const
 {
-    return std::any_of(
-        m_members.begin(), m_members.end(), [&](const auto& entry) { return entry.second.record.service == service; });
+    auto found = m_byService.find(service);
+    return found == m_byService.end() ? nullptr : &found->second;
+}
+
+bool Members::knowsService(ServiceKey service) const { return ofService(service) != nullptr; }
+
+bool Members::isResponsive(const Entry& entry) const
+{
+    TargetState state = entry.record.state;
+    return state != TargetState::Gone && state != TargetState::Departed && !isSuspect(entry);
+}
+
+bool Members::isResponsive(Endpoint agent) const
+{
+    auto found = m_members.find(agent);
+    return found != m_members.end() && isResponsive(found->second);
 }
 
 const MemberRecord* Members::find(Endpoint agent) const
@@ -111,50 +145,56 @@
 std::vector<Endpoint> Members::forNewFlow(
     uint64_t flowHash, ServiceKey service, const std::set<std::string>& evacuated, size_t limit) const
 {
+    const std::vector<const Entry*>* members = ofService(service);
+    if (!members)
+        return {};
     std::vector<Ranked> ranked;
-    for (const auto& [key, entry] : m_members) {
-        const MemberRecord& record = entry.record;
-        if (record.service != service || record.state != TargetState::Ready || evacuated.count(record.dataCentre))
+    for (const Entry* entry : *members) {
+        const MemberRecord& record = entry->record;
+        if (record.state != TargetState::Ready || evacuated.count(record.dataCentre))
             continue;
-        ranked.push_back({ isSuspect(entry) ? 1 : 0, rendezvousScore(flowHash, record.agent), record.agent });
+        ranked.push_back({ isSuspect(*entry) ? 1 : 0, rendezvousScore(flowHash, record.agent), record.agent });
     }
     return inOrder(std::move(ranked), limit);
 }
 
-std::vector<Endpoint> Members::forOldFlow(uint64_t flowHash, const Route& route, ServiceKey first, size_t limit) const
+std::vector<Endpoint> Members::forOldFlow(uint64_t flowHash, const Route& route, ServiceKey first, size_t limit,
+    MemberOrder order, const absl::flat_hash_set<Endpoint>* except) const
 {
-    auto belongs = [&](ServiceKey service) {
-        for (const WeightedService& current : route.services) {
-            if (current.service == service)
-                return true;
-        }
-        return std::find(route.former.begin(), route.former.end(), service) != route.former.end();
-    };
+    std::vector<ServiceKey> services = route.former;
+    for (const WeightedService& current : route.services)
+        services.push_back(current.service);
+    std::sort(services.begin(), services.end());
+    services.erase(std::unique(services.begin(), services.end()), services.end());
+
+    constexpr int unresponsive = 2;
     std::vector<Ranked> ranked;
-    for (const auto& [key, entry] : m_members) {
-        const MemberRecord& record = entry.record;
-        if (record.state == TargetState::Departed || !belongs(record.service))
+    for (ServiceKey service : services) {
+        const std::vector<const Entry*>* members = ofService(service);
+        if (!members)
             continue;
-        int group = record.service == first ? 0 : 1;
-        if (record.state == TargetState::Gone)
-            group += 2;
-        if (isSuspect(entry))
-            group += 4;
-        ranked.push_back({ group, rendezvousScore(flowHash, record.agent), record.agent });
+        for (const Entry* entry : *members) {
+            const MemberRecord& record = entry->record;
+            if (record.state == TargetState::Departed || (except && except->count(record.agent) != 0))
+                continue;
+            int group = service == first ? 0 : 1;
+            if (order == MemberOrder::ResponsiveFirst && !isResponsive(*entry))
+                group += unresponsive;
+            ranked.push_back({ group, rendezvousScore(flowHash, record.agent), record.agent });
+        }
     }
     return inOrder(std::move(ranked), limit);
 }
 
 std::vector<Endpoint> Members::inOrder(std::vector<Ranked> ranked, size_t limit)
 {
-    std::sort(ranked.begin(), ranked.end(),
+    size_t count = std::min(limit, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + count, ranked.end(),
         [](const Ranked& a, const Ranked& b) { return a.group != b.group ? a.group < b.group : a.score > b.score; });
     std::vector<Endpoint> agents;
-    for (const Ranked& member : ranked) {
-        if (agents.size() == limit)
-            break;
-        agents.push_back(member.agent);
-    }
+    agents.reserve(count);
+    for (size_t i = 0; i < count; ++i)
+        agents.push_back(ranked[i].agent);
     return agents;
 }
 
--- a/libs/steering/members.h
+++ b/libs/steering/members.h
@@ -3,7 +3,8 @@
 // Records of one agent carry (incarnation, sequence); the newer one wins wherever two meet, so copies that arrive late
 // or from several control instances never bring an old state back. Candidates are in rendezvous order: each member has
 // a hash with the flow, the highest first. Losing or adding a member moves only its own flows, and every entry derives
-// the same order, which is what lets a search find a flow at its first members. Cost: O(members of the service) a call.
+// the same order, which is what lets a search find a flow at its first members. Cost: O(members of the service) a call,
+// and O(limit log limit) for their order.
 #pragma once
 
 #include "core/clock.h"
@@ -11,6 +12,8 @@
 #include "steering/route_table.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <absl/container/node_hash_map.h>
 #include <set>
 #include <string>
 #include <vector>
@@ -64,6 +67,12 @@
 constexpr auto maxSuspicion = std::chrono::seconds(8);
 constexpr size_t maxMembers = 8192;
 
+// How members that may hold a flow are ordered.
+enum class MemberOrder : uint8_t {
+    ByFlow, // by their hash with the flow, whatever their state
+    ResponsiveFirst, // those that lately did not answer or whose targets are silent come last
+};
+
 class Members {
 public:
     explicit Members(const Clock& clock)
@@ -71,8 +80,10 @@
     {
     }
 
-    // Returns true when the record is new or newer and was taken.
+    // Returns true when the record is new or newer and was taken. A new member beyond maxMembers is refused and
+    // counted.
     bool update(const MemberRecord&);
+    uint64_t refused() const { return m_refused; }
     // The agent did not answer frames; it is asked last until the time has passed, which doubles with each suspicion up
     // to maxSuspicion. An answer ends it.
     void suspect(Endpoint agent, Duration shortest);
@@ -83,13 +94,16 @@
     MemberDigest digest() const;
     bool knowsService(ServiceKey) const;
     const MemberRecord* find(Endpoint agent) const;
+    // False when the agent lately did not answer, or its target is silent or has departed.
+    bool isResponsive(Endpoint agent) const;
 
     // Members that may take a new flow of the service, best first.
     std::vector<Endpoint> forNewFlow(
         uint64_t flowHash, ServiceKey, const std::set<std::string>& evacuated, size_t limit) const;
-    // Members that may hold a flow of the route: those of `first`, then those of the route's other services. Targets
-    // that have departed hold nothing.
-    std::vector<Endpoint> forOldFlow(uint64_t flowHash, const Route&, ServiceKey first, size_t limit) const;
+    // Members that may hold a flow of the route: those of `first`, then those of the route's other services, without
+    // those in `except` (null: none). Targets that have departed hold nothing.
+    std::vector<Endpoint> forOldFlow(uint64_t flowHash, const Route&, ServiceKey first, size_t limit,
+        MemberOrder = MemberOrder::ResponsiveFirst, const absl::flat_hash_set<Endpoint>* except = nullptr) const;
 
 private:
     struct Entry {
@@ -105,10 +119,17 @@
     };
 
     bool isSuspect(const Entry& entry) const { return entry.suspectUntil > m_clock.now(); }
+    bool isResponsive(const Entry&) const;
+    // The members of a service; null when there are none.
+    const std::vector<const Entry*>* ofService(ServiceKey) const;
+    void index(const Entry&);
+    void unindex(const Entry&);
     static std::vector<Endpoint> inOrder(std::vector<Ranked>, size_t limit);
 
     const Clock& m_clock;
-    absl::flat_hash_map<Endpoint, Entry> m_members; // by agent
+    absl::node_hash_map<Endpoint, Entry> m_members; // by agent
+    absl::flat_hash_map<ServiceKey, std::vector<const Entry*>> m_byService;
+    uint64_t m_refused = 0;
 };
 
 } // namespace cicadaward::steering
--- a/libs/steering/request_gate.cc
+++ b/libs/steering/request_gate.cc
@@ -45,6 +45,16 @@
     return std::nullopt;
 }
 
+std::optional<HeldRequest> RequestGate::takeSearched(const FlowId& id, TargetFlow& flow)
+{
+    if (!flow.waiting || !m_queue.isLongWaiting(id))
+        return std::nullopt;
+    std::optional<HeldRequest> held = m_queue.take(id);
+    flow.waiting = false;
+    start(flow);
+    return held;
+}
+
 void RequestGate::start(TargetFlow& flow)
 {
     flow.working = true;
--- a/libs/steering/request_gate.h
+++ b/libs/steering/request_gate.h
@@ -45,6 +45,8 @@
     bool hold(TargetFlow&, const RequestTerms&, const Frame&, const FlowPacket&, const uint8_t* data, size_t size);
     // The request that goes to the target now, if any waits and a slot is free, or one that has waited for long.
     std::optional<HeldRequest> takeNext(TargetFlows&);
+    // The flow's request when entries search for the flow and it has waited for long: it goes to the target.
+    std::optional<HeldRequest> takeSearched(const FlowId&, TargetFlow&);
     // The answer has begun.
     void finish(TargetFlow&);
     // The flow's request ends without an answer; returns what was held of it.
--- a/libs/steering/request_queue.cc
+++ b/libs/steering/request_queue.cc
@@ -77,6 +77,12 @@
     return oldest ? take(FlowId(oldest->flow)) : std::nullopt;
 }
 
+bool RequestQueue::isLongWaiting(const FlowId& flow) const
+{
+    auto found = m_requests.find(flow);
+    return found != m_requests.end() && m_clock.now() - found->second.request.arrived >= m_options.searchedWait;
+}
+
 std::optional<HeldRequest> RequestQueue::take(const FlowId& flow)
 {
     auto found = m_requests.find(flow);
--- a/libs/steering/request_queue.h
+++ b/libs/steering/request_queue.h
@@ -47,6 +47,8 @@
 struct RequestQueueOptions {
     size_t maxRequests = 512;
     size_t maxBytes = 1 << 20;
+    // A request whose flow entries search for waits no longer than this: copies of its packets reach other targets.
+    Duration searchedWait = std::chrono::milliseconds(500);
 };
 
 class RequestQueue {
@@ -63,8 +65,10 @@
     bool hold(const FlowId&, uint32_t sequence, const Frame&, const uint8_t* data, size_t size);
     // Removes the request that goes next, if any waits. `work` is the time that the target takes for one.
     std::optional<HeldRequest> takeNext(Duration work);
-    // Removes a request that has waited for three quarters of its time, if there is one.
+    // Removes the oldest request that has waited for three quarters of its time, if there is one.
     std::optional<HeldRequest> takeOverdue();
+    // True when the flow's request has waited for `searchedWait`.
+    bool isLongWaiting(const FlowId&) const;
     // Removes the request of a flow.
     std::optional<HeldRequest> take(const FlowId&);
     void clear();
--- a/libs/steering/target_flows.cc
+++ b/libs/steering/target_flows.cc
@@ -4,6 +4,9 @@
 
 namespace {
 
+    // A flow that has sent more than this by the time of a caller's packet is known by other means.
+    constexpr uint32_t acknowledgedWindow = 1 << 16;
+
     // Sequences wrap around.
     bool isAfter(uint32_t a, uint32_t b) { return static_cast<int32_t>(a - b) > 0; }
 
@@ -19,6 +22,17 @@
     return isNew;
 }
 
+void TargetFlow::noteOpening(const FlowPacket& packet)
+{
+    opening = packet.sequence;
+    hasOpening = true;
+}
+
+bool TargetFlow::isAnswerOf(const FlowPacket& packet) const
+{
+    return hasOpening && packet.ack && packet.acknowledged - opening < acknowledgedWindow;
+}
+
 void TargetFlow::noteAcknowledgement(const FlowPacket& packet)
 {
     if (!packet.ack || (requested && !isAfter(packet.acknowledged, requestEnd)))
--- a/libs/steering/target_flows.h
+++ b/libs/steering/target_flows.h
@@ -18,21 +18,28 @@
     Time lastPacket;
     Endpoint entry; // port 0, or the entry that waits for Located
     bool offered = false; // the target was given its SYN
-    bool answered = false; // the target has sent a packet of the flow, or has not bounced one
+    bool answered = false; // the target has sent a packet of the flow
     bool heard = false; // the target has sent a packet of the flow to this process
-    bool established = false; // the target has sent more than the answer to the SYN: the caller chose this target
+    // The caller chose this target: it has acknowledged the target's answer to the SYN, or the target has sent more.
+    bool established = false;
+    bool hasOpening = false; // `opening` is known
     bool requested = false; // requestEnd is known
     bool waiting = false; // a request waits in the queue
     bool working = false; // a request is at the target and its answer has not begun
     bool callerClosed = false;
     bool targetClosed = false;
     bool lost = false; // its target has started again or left for good
+    uint32_t opening = 0; // sequence of the target's answer to the SYN
     uint32_t requestEnd = 0; // sequence after the newest data of the caller that was seen or acknowledged
     Time workStarted;
 
     bool isClosing() const { return callerClosed || targetClosed; }
     // Takes note of the caller's data. False for a repeated packet.
     bool noteData(const FlowPacket&);
+    void noteOpening(const FlowPacket&);
+    // True when the caller's packet acknowledges the opening. A SYN that reached several targets has several answers,
+    // and each draws its sequence at random.
+    bool isAnswerOf(const FlowPacket&) const;
     // The target has the caller's data up to the one that its packet acknowledges.
     void noteAcknowledgement(const FlowPacket&);
 };
