Refuse announcements of members that come from another endpoint than they name

The map of pollers, whom each change is sent to, had no bound. Change: a record counts from the endpoint that it names, or from a control instance that passes it on; others are counted (control.refused-announcements) and logged at most once a second (event 526). At most 16,384 pollers are remembered.

--- a/daemons/flow_control_daemon.cc
+++ b/daemons/flow_control_daemon.cc
@@ -163,6 +163,7 @@
     m_base.metrics.gauge("state.version").set(int64_t(m_core->state().routes().version()));
     m_base.metrics.gauge("control.pollers").set(int64_t(m_core->pollers()));
     m_base.metrics.gauge("control.members").set(int64_t(m_core->members()));
+    m_base.metrics.gauge("control.refused-announcements").set(int64_t(m_core->refusedAnnouncements()));
 }
 
 void FlowControlDaemon::stop()
@@ -278,6 +279,9 @@
     case cluster::ControlEvent::OrderExpired:
         id = EventId::OrderExpired;
         break;
+    case cluster::ControlEvent::AnnouncementRefused:
+        id = EventId::AnnouncementRefused;
+        break;
     }
     m_base.log->write(id, { { "subject", subject }, { "index", index } });
 }
--- a/libs/cluster/control_core.h
+++ b/libs/cluster/control_core.h
@@ -82,6 +82,7 @@
     MembersRemoved,
     MembershipChanged,
     OrderExpired,
+    AnnouncementRefused, // at most once a second
 };
 
 class ControlOutput {
@@ -112,6 +113,7 @@
     const State& state() const { return m_state; }
     size_t members() const { return m_members.size(); }
     size_t pollers() const { return m_pollers.size(); }
+    uint64_t refusedAnnouncements() const { return m_refusedAnnouncements; }
 
 private:
     struct Order {
@@ -157,6 +159,8 @@
     void onRegisterChange(const Command&, LogIndex);
     void onHello(Hello);
     void onPoll(Endpoint sender, const Poll&);
+    void refuseAnnouncement(Endpoint sender, const steering::MemberRecord&);
+    bool isControlInstance(Endpoint) const;
     void answerPoll(Endpoint sender, const Poll&, bool confirmed);
     void followState();
     void notifyPollers();
@@ -180,6 +184,8 @@
     State m_state;
     MemberTable m_members;
     std::map<Endpoint, Time> m_pollers; // when each one polled last
+    uint64_t m_refusedAnnouncements = 0; // of members that are not their senders
+    Time m_nextRefusalReport;
     Group m_group;
     std::map<InstanceId, Endpoint> m_seen; // addresses from which consensus messages came, or that the log names
     std::map<LogIndex, Order> m_orders; // accepted, not yet committed
--- a/libs/cluster/control_core_test.cc
+++ b/libs/cluster/control_core_test.cc
@@ -218,6 +218,50 @@
 
 // After a loss of power pollers waited up to 0.2 s for their next turn at an instance that had a state by then; a start
 // counted as no news.
+// Guards against members that do not exist: they would stay in the register for hours and cost a hop in each search.
+TEST_CASE("an announcement counts only from the endpoint that it names or from a control instance", "[core]")
+{
+    Trio trio;
+    size_t leader = trio.leader();
+    ControlCore& core = *trio.nodes[leader].core;
+    size_t before = core.members();
+    steering::MemberRecord record;
+    record.agent = { 0x0A020001, 8172 };
+    record.service = steering::serviceKey("hub");
+    record.state = steering::TargetState::Ready;
+    record.incarnation = record.sequence = record.targetStart = 1;
+    Poll poll;
+    poll.records.push_back(record);
+    Envelope announcement { MessageKind::Poll, encodeMessage(poll) };
+
+    core.onMessage({ 0x0A020002, 8172 }, announcement);
+    core.onMessage({ 0x0A020001, 9999 }, announcement);
+    trio.run(3s);
+    CHECK(core.members() == before);
+    CHECK(core.refusedAnnouncements() == 2);
+
+    SECTION("from itself") { core.onMessage(record.agent, announcement); }
+    SECTION("passed on by a follower")
+    {
+        core.onMessage(Trio::addressOf((leader + 1) % instanceCount).peer, announcement);
+    }
+    trio.run(3s);
+    CHECK(core.members() == before + 1);
+    CHECK(core.state().members().count(record.agent) == 1);
+    CHECK(core.refusedAnnouncements() == 2);
+}
+
+// Guards against memory and notices without bound.
+TEST_CASE("the number of pollers that an instance remembers is bounded", "[core]")
+{
+    Trio trio;
+    ControlCore& core = *trio.nodes[trio.leader()].core;
+    Envelope poll { MessageKind::Poll, encodeMessage(Poll {}) };
+    for (uint32_t i = 0; i < 20000; ++i)
+        core.onMessage({ 0x0B000000 + i, 8172 }, poll);
+    CHECK(core.pollers() == 16384);
+}
+
 TEST_CASE("control: pollers are told of the first state and of each change, by two instances each", "[control]")
 {
     Trio trio;
--- a/libs/cluster/control_polls.cc
+++ b/libs/cluster/control_polls.cc
@@ -2,6 +2,7 @@
 #include "cluster/codec.h"
 #include "cluster/control_core.h"
 #include "core/hash.h"
+#include "directory/manifest.h"
 
 #include <algorithm>
 #include <limits>
@@ -12,6 +13,9 @@
 
     // Polls beyond this number are answered without a confirmation.
     constexpr size_t maxConfirmations = 512;
+    // Bounds the memory and the notices that senders of polls can cause; others are answered, but not told of changes.
+    constexpr size_t maxPollers = 16384;
+    constexpr Duration refusalReportInterval = std::chrono::seconds(1);
     constexpr size_t notifiersOfPoller = 2;
     // Longer than the time in which the slowest poller polls every instance once.
     constexpr Duration pollerRetention = std::chrono::seconds(240);
@@ -20,9 +24,14 @@
 
 void ControlCore::onPoll(Endpoint sender, const Poll& poll)
 {
-    for (const steering::MemberRecord& record : poll.records)
-        m_members.update(record, poll.period);
-    if (poll.records.size() < 2) // a follower that passes members on is no poller
+    bool isControl = isControlInstance(sender);
+    for (const steering::MemberRecord& record : poll.records) {
+        if (isControl || record.agent == sender)
+            m_members.update(record, poll.period);
+        else
+            refuseAnnouncement(sender, record);
+    }
+    if (!isControl && (m_pollers.size() < maxPollers || m_pollers.count(sender) != 0))
         m_pollers[sender] = m_clock.now();
     if (poll.confirmation != 0 && m_raft.isLeader() && m_confirmations.size() < maxConfirmations)
         m_confirmations.push_back({ m_clock.now(), PollConfirmation { sender, poll } });
@@ -30,6 +39,27 @@
         answerPoll(sender, poll, false);
 }
 
+// A process announces itself, from the endpoint that it names; only control instances pass on what they have heard.
+// A member that does not exist would stay in the register for hours and cost a hop in searches.
+void ControlCore::refuseAnnouncement(Endpoint sender, const steering::MemberRecord& record)
+{
+    ++m_refusedAnnouncements;
+    if (m_clock.now() < m_nextRefusalReport)
+        return;
+    m_nextRefusalReport = m_clock.now() + refusalReportInterval;
+    m_output.happened(ControlEvent::AnnouncementRefused,
+        formatAddress(record.agent.address) + " from " + formatAddress(sender.address), m_state.index());
+}
+
+bool ControlCore::isControlInstance(Endpoint sender) const
+{
+    for (Endpoint control : knownControls()) {
+        if (control == sender)
+            return true;
+    }
+    return false;
+}
+
 // Keeps the encoded state and the history of changes up to date.
 void ControlCore::followState()
 {
--- a/libs/observe/events.cc
+++ b/libs/observe/events.cc
@@ -130,6 +130,8 @@
         { EventId::MembersRegistered, EventLevel::Info, "members-registered",
             "starts of targets entered the members' register" },
         { EventId::MembersRemoved, EventLevel::Info, "members-removed", "departed targets left the members' register" },
+        { EventId::AnnouncementRefused, EventLevel::Warning, "announcement-refused",
+            "a process announced a member that is not itself; at most once a second" },
 
         { EventId::RetryBudgetSpent, EventLevel::Warning, "retry-budget-spent",
             "a request was not retried because the retry budget is spent" },
--- a/libs/observe/events.h
+++ b/libs/observe/events.h
@@ -88,6 +88,7 @@
     StoreReopened = 523,
     MembersRegistered = 524,
     MembersRemoved = 525,
+    AnnouncementRefused = 526,
 
     RetryBudgetSpent = 600,
     RequestIdConflict = 601,
