Eject targets that fail requests behind good heartbeats

Cause: an agent judged its target by heartbeats and unanswered SYNs alone, and new flows go to the lower load. A target that resets or hangs frees its slots and loses its open flows, so it looked idle and drew the flows of the others.

Change: OutlierDetector (libs/steering) decides from the results of the target's requests: resets, closes without an answer, requests and SYNs without an answer for longer than the observed service times explain. Two consecutive failures of different callers eject the target for 0.5 to 2 s; then it takes one flow at a time, for two seconds only flows of idempotent requests, until four are answered. Its load counts recent failures. An ejected member puts itself at the end of the frame's list, so a flow that no other member takes comes back and is accepted: a service is never emptied. Requests without an answer free their slots after the same limit. A close that overtakes the answer no longer ends the request. Operators get settings outlier.*, events 317 to 319, metrics target.outlier-state and target.ejections.

--- a/daemons/flow_agent_daemon.cc
+++ b/daemons/flow_agent_daemon.cc
@@ -23,9 +23,25 @@
         options.heartbeatTimeout = maxMissedHeartbeats * settings.duration("target.heartbeat-ms");
         options.admission.warmUpFactor = settings.decimal("warm-up.factor");
         options.admission.warmUpSlack = settings.decimal("warm-up.slack");
+        options.outlier.isEnabled = settings.flag("outlier.detection");
+        options.outlier.minPause = settings.duration("outlier.min-pause-ms");
+        options.outlier.maxPause = settings.duration("outlier.max-pause-ms");
         return options;
     }
 
+    EventId eventOf(steering::OutlierState state)
+    {
+        switch (state) {
+        case steering::OutlierState::Ejected:
+            return EventId::TargetEjected;
+        case steering::OutlierState::HalfOpen:
+            return EventId::TargetHalfOpen;
+        case steering::OutlierState::Closed:
+            break;
+        }
+        return EventId::TargetRestored;
+    }
+
     cluster::PollerOptions pollerOptions(const Settings& settings)
     {
         cluster::PollerOptions options;
@@ -72,6 +88,23 @@
     m_steering.onTick();
     m_poller.onTick();
     announceRecordIfChanged();
+    logOutlierState();
+}
+
+void FlowAgentDaemon::logOutlierState()
+{
+    const steering::OutlierDetector& outliers = m_steering.outliers();
+    steering::OutlierState state = outliers.state();
+    if (state == m_loggedOutlierState)
+        return;
+    m_loggedOutlierState = state;
+    auto age = std::chrono::duration_cast<std::chrono::milliseconds>(outliers.lastFailureAge());
+    auto limit = std::chrono::duration_cast<std::chrono::milliseconds>(outliers.answerLimit());
+    m_base.log->write(eventOf(state),
+        { { "failure", steering::targetFailureName(outliers.lastFailure()) }, { "failure-age-ms", age.count() },
+            { "answer-limit-ms", limit.count() } });
+    if (state == steering::OutlierState::Ejected)
+        m_base.metrics.counter("target.ejections").add();
 }
 
 void FlowAgentDaemon::announceRecordIfChanged()
@@ -110,6 +143,7 @@
     m_base.metrics.gauge("agent.load-percent").set(m_steering.load());
     m_base.metrics.gauge("agent.registered").set(m_steering.isRegistered());
     m_base.metrics.gauge("target.state").set(int64_t(m_steering.registration().state()));
+    m_base.metrics.gauge("target.outlier-state").set(int64_t(m_steering.outliers().state()));
     m_base.metrics.gauge("state.index").set(int64_t(m_poller.stateIndex()));
     m_base.metrics.gauge("control.in-contact").set(m_poller.isInContact());
 }
--- a/daemons/flow_agent_daemon.h
+++ b/daemons/flow_agent_daemon.h
@@ -34,6 +34,7 @@
     void handleHeartbeat(const steering::Heartbeat&);
     // Announces this agent's member record to all control instances when it has changed since the last announcement.
     void announceRecordIfChanged();
+    void logOutlierState();
 
     FlowDaemonBase& m_base;
     const FlowAdapter& m_adapter;
@@ -48,6 +49,7 @@
     std::unique_ptr<HttpServer> m_metrics;
     std::unique_ptr<Ticker> m_ticker;
     uint64_t m_announcedSequence = 0; // sequence number of the last announced record
+    steering::OutlierState m_loggedOutlierState = steering::OutlierState::Closed;
 };
 
 } // namespace cicadaward
--- a/libs/observe/events.cc
+++ b/libs/observe/events.cc
@@ -82,6 +82,12 @@
         { EventId::MemberChanged, EventLevel::Info, "member-changed", "a member's newer record was taken" },
         { EventId::MemberRegistered, EventLevel::Info, "member-registered",
             "the members' register has the target's start; it may get new flows" },
+        { EventId::TargetEjected, EventLevel::Warning, "target-ejected",
+            "the target fails requests and takes no new flows for a pause; names the newest failure and its age" },
+        { EventId::TargetHalfOpen, EventLevel::Info, "target-half-open",
+            "the pause has ended; the target takes one new flow at a time until they are answered" },
+        { EventId::TargetRestored, EventLevel::Info, "target-restored",
+            "the target answers again and takes new flows" },
 
         { EventId::PacketDropped, EventLevel::Warning, "packet-dropped",
             "packets dropped for one reason; at most one line for each reason and second, with the count" },
--- a/libs/observe/events.h
+++ b/libs/observe/events.h
@@ -54,6 +54,9 @@
     HeartbeatOutdated = 314,
     MemberChanged = 315,
     MemberRegistered = 316,
+    TargetEjected = 317,
+    TargetHalfOpen = 318,
+    TargetRestored = 319,
 
     PacketDropped = 400,
     MessageNotAuthenticated = 401,
--- a/libs/settings/flow_settings.cc
+++ b/libs/settings/flow_settings.cc
@@ -23,9 +23,9 @@
         { "metrics.listen", SettingType::Endpoint, "", "", 0, 0, "HTTP endpoint of the metrics; off when not set" },
     };
 
-    SettingTable makeTable(const std::vector<Setting>& own)
+    SettingTable makeTable(const std::vector<Setting>& own, const std::vector<SettingOrder>& orders = {})
     {
-        SettingTable table { commonSettings, {} };
+        SettingTable table { commonSettings, orders };
         table.settings.insert(table.settings.end(), own.begin(), own.end());
         return table;
     }
@@ -55,23 +55,33 @@
 
 const SettingTable& flowAgentSettings()
 {
-    static const SettingTable table = makeTable({
-        { "listen.fabric", SettingType::Endpoint, "", nullptr, 0, 0,
-            "UDP endpoint for entries, agents and control instances; its port is also the callers' port" },
-        { "listen.target", SettingType::Endpoint, "", nullptr, 0, 0, "UDP endpoint for packets of the target" },
-        { "listen.heartbeats", SettingType::Endpoint, "", nullptr, 0, 0, "HTTP endpoint for the target's heartbeats" },
-        { "target.packets", SettingType::Endpoint, "", nullptr, 0, 0, "UDP endpoint of the target" },
-        { "target.heartbeat-ms", SettingType::Milliseconds, "ms", "1200", 10, maxMs,
-            "time between two heartbeats; after four without one the target counts as gone" },
-        { "target.reuse-s", SettingType::Decimal, "s", "2", 0, 3600,
-            "shortest time until the address of a target that has ended may go to another service's target" },
-        pollInterval,
-        { "limits.max-flows", SettingType::Number, "flows", "16384", 16, 1 << 24, "most flows held" },
-        { "warm-up.factor", SettingType::Decimal, "", "1", 0, 1000,
-            "multiple of the configured warm-up rate that a cold target gets" },
-        { "warm-up.slack", SettingType::Decimal, "flows", "0", 0, 1 << 20,
-            "new flows a second that a cold target gets beyond it" },
-    });
+    static const SettingTable table = makeTable(
+        {
+            { "listen.fabric", SettingType::Endpoint, "", nullptr, 0, 0,
+                "UDP endpoint for entries, agents and control instances; its port is also the callers' port" },
+            { "listen.target", SettingType::Endpoint, "", nullptr, 0, 0, "UDP endpoint for packets of the target" },
+            { "listen.heartbeats", SettingType::Endpoint, "", nullptr, 0, 0,
+                "HTTP endpoint for the target's heartbeats" },
+            { "target.packets", SettingType::Endpoint, "", nullptr, 0, 0, "UDP endpoint of the target" },
+            { "target.heartbeat-ms", SettingType::Milliseconds, "ms", "1200", 10, maxMs,
+                "time between two heartbeats; after four without one the target counts as gone" },
+            { "target.reuse-s", SettingType::Decimal, "s", "2", 0, 3600,
+                "shortest time until the address of a target that has ended may go to another service's target" },
+            pollInterval,
+            { "limits.max-flows", SettingType::Number, "flows", "16384", 16, 1 << 24, "most flows held" },
+            { "warm-up.factor", SettingType::Decimal, "", "1", 0, 1000,
+                "multiple of the configured warm-up rate that a cold target gets" },
+            { "warm-up.slack", SettingType::Decimal, "flows", "0", 0, 1 << 20,
+                "new flows a second that a cold target gets beyond it" },
+            { "outlier.detection", SettingType::Flag, "", "true", 0, 0,
+                "true: a target that fails requests takes no new flows for a pause; false: its heartbeats alone "
+                "decide" },
+            { "outlier.min-pause-ms", SettingType::Milliseconds, "ms", "500", 10, maxMs,
+                "first pause of a target that fails; doubles with each failure after a pause" },
+            { "outlier.max-pause-ms", SettingType::Milliseconds, "ms", "2000", 10, maxMs,
+                "longest pause of a target that fails" },
+        },
+        { { "outlier.min-pause-ms", "outlier.max-pause-ms" } });
     return table;
 }
 
--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -16,6 +16,9 @@
     constexpr auto defaultRequestTimeout = std::chrono::seconds(5); // for routes without a timeout
     constexpr double loadScale = 100; // load() is in hundredths of a request per slot
     constexpr double workPerOpenFlow = 0.1; // requests
+    // A longer time between two ticks means that this process was suspended; answers of the target may be waiting in
+    // the socket, and are read within the same time.
+    constexpr Duration maxTickInterval = std::chrono::milliseconds(150);
 
 } // namespace
 
@@ -29,6 +32,8 @@
     , m_registration(clock, m_options.heartbeatTimeout)
     , m_admission(m_options.admission, clock)
     , m_requests(m_options.queue, clock)
+    , m_outliers(m_options.outlier, clock)
+    , m_lastTick(clock.now())
     , m_flows(m_options.maxFlows)
     , m_forwardedPackets(m_options.forwardedPacketSlots)
     , m_lastMark(static_cast<uint32_t>(mixHash(m_options.incarnation, m_options.self.key())))
@@ -82,6 +87,7 @@
         return;
     m_admission.reset();
     m_requests.reset();
+    m_outliers.reset();
 }
 
 bool AgentSteering::onDeparture(const std::string& id) { return m_registration.onDeparture(id); }
@@ -120,6 +126,7 @@
     double slots = m_registration.lastHeartbeat() ? std::max(1U, m_registration.lastHeartbeat()->slots) : 1;
     double work
         = m_requests.load() + double(m_admission.unansweredSyns()) + workPerOpenFlow * double(m_flows.openCount());
+    work += slots * m_outliers.recentFailures();
     return static_cast<uint16_t>(std::min(65535.0, loadScale * work / slots));
 }
 
@@ -183,7 +190,17 @@
         passOn(frame, packet, reason, data, size);
         return;
     }
+    const Route* route = m_routes.find(packet.flow.service);
+    if (!m_outliers.mayTakeFlow(route && route->isIdempotent) && !isLastResort(frame)) {
+        passOnEjected(frame, packet, data, size);
+        return;
+    }
     uint16_t ownLoad = load();
+    bool isTrial = m_outliers.state() == OutlierState::HalfOpen && !isLastResort(frame);
+    if (isTrial) {
+        accept(frame, packet, data, size); // the failures in its load would lose any comparison
+        return;
+    }
     if (frame.shouldCompareLoad && frame.leastLoadedPosition == noPosition
         && frame.nextPosition < frame.members.size()) {
         frame.leastLoadedPosition = static_cast<uint8_t>(frame.nextPosition - 1);
@@ -202,6 +219,21 @@
     accept(frame, packet, data, size);
 }
 
+// A member that is ejected has put itself at the end of the list at its first visit.
+bool AgentSteering::isLastResort(const Frame& frame) const
+{
+    return std::count(frame.members.begin(), frame.members.begin() + frame.nextPosition, m_options.self) > 1;
+}
+
+// The flow comes back here when no other member takes it, so that a service does not lose all its targets. Of several
+// ejected members, the comparison of loads selects the one with fewer failures.
+void AgentSteering::passOnEjected(Frame& frame, const FlowPacket& packet, const uint8_t* data, size_t size)
+{
+    if (frame.members.size() < maxFrameMembers)
+        frame.members.push_back(m_options.self);
+    passOn(frame, packet, "target is ejected", data, size);
+}
+
 void AgentSteering::accept(Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
 {
     Time now = m_clock.now();
@@ -213,6 +245,7 @@
     flow->connectStart = now - packet.age;
     flow->entryToNotify = frame.entry;
     m_admission.onSynForwarded(packet.flow);
+    m_outliers.onFlowAccepted();
     frame.shouldCompareLoad = false;
     forwardToTarget(frame, packet.flow, data, size);
     m_observer.onDecision(Decision::Accepted, packet.flow, { frame.entry, "", m_routes.version(), ownLoad });
@@ -391,8 +424,10 @@
         m_hasUntrackedFlows = m_hasUntrackedFlows || !packet->reset;
         return;
     }
+    recordResult(*packet, *flow);
     flow->lastPacket = m_clock.now();
     flow->targetEnded = false;
+    flow->recordTargetData(*packet);
     flow->seenFromTarget = true;
     flow->recordTargetAck(*packet);
     if (packet->syn)
@@ -406,22 +441,50 @@
             m_observer.onLatency(Latency::FlowOpened, m_clock.now() - flow->opened);
     }
     sendLocated(packet->flow, *flow);
-    if (packet->length > 0 && flow->isRequestInFlight) {
-        m_observer.onLatency(Latency::RequestAnswered, m_clock.now() - flow->requestForwarded);
-        m_requests.finish(*flow);
-    }
-    if (packet->fin) {
-        m_flows.markClosed(*flow, &TargetFlow::targetClosed);
-        // No answer will follow. A queued request is forwarded so that the target refuses it, which tells the caller at
-        // once.
-        if (std::optional<QueuedRequest> queued = m_requests.cancel(packet->flow, *flow))
-            forwardToTarget(*queued);
-    }
+    if (packet->fin)
+        onTargetClosed(*packet, *flow);
     if (packet->reset)
         eraseFlow(packet->flow);
     forwardQueuedRequests();
 }
 
+// No answer follows a close, unless the packet has overtaken it. A queued request is forwarded so that the target
+// refuses it, which tells the caller at once.
+void AgentSteering::onTargetClosed(const FlowPacket& packet, TargetFlow& flow)
+{
+    m_flows.markClosed(flow, &TargetFlow::targetClosed);
+    bool isAnswerOnItsWay = flow.isRequestInFlight && flow.hasOvertakenData(packet);
+    if (isAnswerOnItsWay)
+        return;
+    if (std::optional<QueuedRequest> queued = m_requests.cancel(packet.flow, flow))
+        forwardToTarget(*queued);
+}
+
+// Records the answer to the request in flight, or its failure. An answer after the timeout is of no use to the caller
+// and does not show that the target works. The end of an idle flow is no failure, and neither is anything that a
+// draining target does.
+void AgentSteering::recordResult(const FlowPacket& packet, TargetFlow& flow)
+{
+    Duration serviceTime = m_clock.now() - flow.requestForwarded;
+    if (packet.length > 0 && flow.isRequestInFlight) {
+        m_observer.onLatency(Latency::RequestAnswered, serviceTime);
+        m_outliers.onAnswered(serviceTime);
+        m_requests.finish(flow);
+        return;
+    }
+    if (packet.length > 0 && flow.isRequestUnanswered) {
+        if (serviceTime <= requestPolicyOf(packet.flow).timeout)
+            m_outliers.onAnsweredLate(serviceTime);
+        flow.isRequestUnanswered = false;
+        return;
+    }
+    bool isSynRefused = packet.reset && flow.synForwarded && !flow.answered;
+    bool isRequestCut = flow.isRequestInFlight && !flow.isClosing() && flow.isEndWithoutAnswer(packet);
+    if (m_registration.state() != TargetState::Ready || !(isSynRefused || isRequestCut))
+        return;
+    m_outliers.onFailed(packet.reset ? TargetFailure::Reset : TargetFailure::Closed, packet.flow.caller.address);
+}
+
 void AgentSteering::onBounced(const FlowPacket& packet, uint8_t* data, size_t size)
 {
     eraseFlow(packet.flow);
@@ -460,13 +523,31 @@
 
 void AgentSteering::onTick()
 {
-    m_admission.onTick();
+    detectUnanswered();
     if (m_clock.now() - m_lastExpiry >= expiryInterval)
         expire();
-    if (m_requests.queuedCount() > 0) {
-        m_requests.expireTimedOut(m_flows, [this](const FlowId& id) { return requestPolicyOf(id).timeout; });
-        forwardQueuedRequests();
+    forwardQueuedRequests();
+}
+
+void AgentSteering::detectUnanswered()
+{
+    Time now = m_clock.now();
+    if (now - m_lastTick > maxTickInterval)
+        m_pausedUntil = now + maxTickInterval;
+    m_lastTick = now;
+    bool wasPaused = now < m_pausedUntil;
+    bool isDetecting = !wasPaused && m_registration.state() == TargetState::Ready;
+    for (const FlowId& flow : m_admission.onTick()) {
+        if (isDetecting)
+            m_outliers.onFailed(TargetFailure::SynUnanswered, flow.caller.address);
     }
+    Duration answerLimit = wasPaused || !m_options.outlier.isEnabled ? Duration::max() : m_outliers.answerLimit();
+    m_requests.expireUnanswered(
+        m_flows, [&](const FlowId& id) { return std::min(answerLimit, requestPolicyOf(id).timeout); },
+        [&](const FlowId& id, const TargetFlow& flow) {
+            if (isDetecting && !flow.isClosing())
+                m_outliers.onFailed(TargetFailure::Unanswered, id.caller.address);
+        });
 }
 
 void AgentSteering::expire()
--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -22,6 +22,7 @@
 #include "steering/decisions.h"
 #include "steering/flow_admission.h"
 #include "steering/frame.h"
+#include "steering/outlier_detector.h"
 #include "steering/request_gate.h"
 #include "steering/target_flows.h"
 #include "steering/target_registration.h"
@@ -42,6 +43,7 @@
     Duration closedRetention = std::chrono::seconds(4); // for flows that are closed or were never answered
     FlowAdmissionOptions admission;
     RequestQueueOptions queue;
+    OutlierOptions outlier;
 };
 
 class AgentOutput {
@@ -77,10 +79,12 @@
     // supersede it. Incarnations come from a clock that may have been set back before this process started.
     void raiseIncarnationAbove(uint64_t incarnation);
     const TargetRegistration& registration() const { return m_registration; }
-    // Expected work of the target per slot, in hundredths of a request: RequestGate::load(), unanswered SYNs, and a
-    // tenth of a request for each open flow, since open flows will carry further requests.
+    // Expected work of the target per slot, in hundredths of a request: RequestGate::load(), unanswered SYNs, a tenth
+    // of a request for each open flow, since open flows will carry further requests, and one for each slot and recent
+    // failure, since failed requests free their slots without being served.
     uint16_t load() const;
     size_t flowCount() const { return m_flows.size(); }
+    const OutlierDetector& outliers() const { return m_outliers; }
     size_t waitingRequests() const { return m_requests.queuedCount(); }
 
 private:
@@ -95,6 +99,8 @@
     const char* refusalReason(const FlowId&);
     void onOffer(Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void accept(Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    bool isLastResort(const Frame&) const;
+    void passOnEjected(Frame&, const FlowPacket&, const uint8_t* data, size_t size);
     void onDelivery(Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void onUnknownFlow(Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void fanOut(const Frame&, const uint8_t* data, size_t size);
@@ -104,9 +110,12 @@
     void forwardToTarget(const Frame&, const FlowId&, uint8_t* data, size_t size);
     void forwardToTarget(QueuedRequest&);
     void onCallerClosed(TargetFlow&, const FlowPacket&);
+    void onTargetClosed(const FlowPacket&, TargetFlow&);
     void onBounced(const FlowPacket&, uint8_t* data, size_t size);
     bool canTargetHold(const FlowId&) const;
     RequestPolicy requestPolicyOf(const FlowId&) const;
+    void recordResult(const FlowPacket&, TargetFlow&);
+    void detectUnanswered();
     void sendLocated(const FlowId&, TargetFlow&);
     void eraseFlow(const FlowId&);
     void onNewStart(bool hadTarget);
@@ -127,6 +136,9 @@
     bool m_hasUnannouncedStart = false; // m_record does not contain the current start of the target yet
     bool m_hasUntrackedFlows = false; // m_flows was full and may lack flows of the target's current start
     RequestGate m_requests;
+    OutlierDetector m_outliers;
+    Time m_lastTick;
+    Time m_pausedUntil; // until then unanswered requests and SYNs may be due to a pause of this process
     TargetFlows m_flows;
     std::vector<ForwardedPacket> m_forwardedPackets; // ring buffer, indexed by mark modulo its size
     uint32_t m_lastMark; // starts at a value that differs between processes, see ForwardedPacket
--- a/libs/steering/entry_steering.cc
+++ b/libs/steering/entry_steering.cc
@@ -107,6 +107,8 @@
     if (cachedFlow && cachedFlow->agent.port != 0) {
         frame.members.push_back(cachedFlow->agent);
         frame.shouldCompareLoad = false;
+        // A member that is listed once more is taken for the last resort, see AgentSteering::isLastResort().
+        candidates.erase(std::remove(candidates.begin(), candidates.end(), cachedFlow->agent), candidates.end());
     }
     m_searches.cancel(packet.flow);
     frame.members.insert(frame.members.end(), candidates.begin(), candidates.end());
--- a/libs/steering/flow_admission.cc
+++ b/libs/steering/flow_admission.cc
@@ -65,13 +65,16 @@
         m_unansweredSyns.end());
 }
 
-void FlowAdmission::onTick()
+std::vector<FlowId> FlowAdmission::onTick()
 {
     Time now = m_clock.now();
+    std::vector<FlowId> unanswered;
     while (!m_unansweredSyns.empty() && now - m_unansweredSyns.front().first > m_options.synTimeout) {
         ++m_consecutiveSynTimeouts;
+        unanswered.push_back(m_unansweredSyns.front().second);
         m_unansweredSyns.pop_front();
     }
+    return unanswered;
 }
 
 } // namespace cicadaward::steering
--- a/libs/steering/flow_admission.h
+++ b/libs/steering/flow_admission.h
@@ -17,6 +17,7 @@
 
 #include <deque>
 #include <utility>
+#include <vector>
 
 namespace cicadaward::steering {
 
@@ -48,8 +49,8 @@
     void onTargetActivity() { m_consecutiveSynTimeouts = 0; }
     // Call when the evacuation of the data centre ends. The target counts as cold for `warmUp`.
     void startWarmUp(Duration warmUp) { m_coldUntil = m_clock.now() + warmUp; }
-    // Counts SYNs that were not answered within synTimeout.
-    void onTick();
+    // Counts SYNs that were not answered within synTimeout, and returns their flows.
+    std::vector<FlowId> onTick();
     // Call when the target has restarted.
     void reset() { m_unansweredSyns.clear(); }
     // SYNs that have no answer yet and, as of the last onTick(), had not exceeded synTimeout. At most
--- a/libs/steering/request_gate.cc
+++ b/libs/steering/request_gate.cc
@@ -1,5 +1,7 @@
 #include "steering/request_gate.h"
 
+#include <algorithm>
+
 namespace cicadaward::steering {
 
 bool RequestGate::queueIfBusy(TargetFlow& flow, const RequestPolicy& policy, const Frame& frame,
@@ -13,7 +15,7 @@
     if (!isNew || flow.isRequestInFlight || !flow.seenFromTarget || flow.isClosing())
         return false;
     if (hasFreeSlot()) {
-        start(flow);
+        start(packet.flow, flow);
         return false;
     }
     Time now = m_clock.now();
@@ -22,7 +24,7 @@
     RequestInfo request { packet.flow, now, requestStart + objective, requestStart + policy.timeout, policy.priority };
     if (!m_queue.add(request) || !m_queue.addPacket(packet.flow, packet.sequence, frame, data, size)) {
         m_queue.remove(packet.flow);
-        start(flow);
+        start(packet.flow, flow);
         return false;
     }
     flow.isRequestQueued = true;
@@ -40,7 +42,7 @@
         if (!flow || !flow->isRequestQueued)
             continue;
         flow->isRequestQueued = false;
-        start(*flow);
+        start(queued->request.flow, *flow);
         return queued;
     }
     return std::nullopt;
@@ -52,14 +54,16 @@
         return std::nullopt;
     std::optional<QueuedRequest> queued = m_queue.remove(id);
     flow.isRequestQueued = false;
-    start(flow);
+    start(id, flow);
     return queued;
 }
 
-void RequestGate::start(TargetFlow& flow)
+void RequestGate::start(const FlowId& id, TargetFlow& flow)
 {
     flow.isRequestInFlight = true;
+    flow.isRequestUnanswered = false;
     flow.requestForwarded = m_clock.now();
+    m_started.push_back({ id, flow.requestForwarded });
     m_workMeter.onStarted();
 }
 
@@ -80,21 +84,30 @@
     return m_queue.remove(id);
 }
 
-void RequestGate::expireTimedOut(TargetFlows& flows, const std::function<Duration(const FlowId&)>& timeoutOf)
+void RequestGate::expireUnanswered(TargetFlows& flows, const std::function<Duration(const FlowId&)>& limitOf,
+    const std::function<void(const FlowId&, const TargetFlow&)>& onUnanswered)
 {
     Time now = m_clock.now();
-    flows.forEach([&](const FlowId& id, TargetFlow& flow) {
-        if (!flow.isRequestInFlight || now - flow.requestForwarded <= timeoutOf(id))
-            return;
-        flow.isRequestInFlight = false;
+    auto hasEnded = [&](const StartedRequest& started) {
+        TargetFlow* flow = flows.find(started.flow);
+        if (!flow || !flow->isRequestInFlight || flow->requestForwarded != started.forwarded)
+            return true;
+        if (now - started.forwarded <= limitOf(started.flow))
+            return false;
+        flow->isRequestInFlight = false;
+        flow->isRequestUnanswered = true;
         m_workMeter.onCancelled();
-    });
+        onUnanswered(started.flow, *flow);
+        return true;
+    };
+    m_started.erase(std::remove_if(m_started.begin(), m_started.end(), hasEnded), m_started.end());
 }
 
 void RequestGate::reset()
 {
     m_workMeter.reset();
     m_queue.clear();
+    m_started.clear();
 }
 
 bool RequestGate::isOverloaded(Duration timeout) const
--- a/libs/steering/request_gate.h
+++ b/libs/steering/request_gate.h
@@ -3,7 +3,7 @@
 // A request begins with caller data that the target does not have yet and ends with the first data of the answer. The
 // count of requests in flight must not drift: a slot that stays occupied by a request without an answer delays all
 // others. A request therefore also ends when either end closes the flow, when the target does not hold the flow, and
-// after its timeout, and only flows from which the target has sent a packet are counted.
+// when it had no answer in time, and only flows from which the target has sent a packet are counted.
 //
 //     if (gate.queueIfBusy(flow, policy, frame, packet, data, size))
 //         return; // queued
@@ -20,6 +20,7 @@
 
 #include <functional>
 #include <optional>
+#include <vector>
 
 namespace cicadaward::steering {
 
@@ -54,8 +55,10 @@
     void finish(TargetFlow&);
     // Ends the flow's request without an answer. Returns the request when it was queued.
     std::optional<QueuedRequest> cancel(const FlowId&, TargetFlow&);
-    // Ends requests in flight that have no answer after their timeouts, since their callers have given up.
-    void expireTimedOut(TargetFlows&, const std::function<Duration(const FlowId&)>& timeoutOf);
+    // Ends requests in flight that had no answer for longer than `limitOf` their flow, and calls `onUnanswered` for
+    // each. Call at intervals; costs O(requests forwarded since the last call, and in flight).
+    void expireUnanswered(TargetFlows&, const std::function<Duration(const FlowId&)>& limitOf,
+        const std::function<void(const FlowId&, const TargetFlow&)>& onUnanswered);
     void reset(); // call when the target has restarted
 
     // True when a new request is expected to wait for more than half of `timeout`.
@@ -65,12 +68,18 @@
     size_t queuedCount() const { return m_queue.size(); }
 
 private:
+    struct StartedRequest {
+        FlowId flow;
+        Time forwarded;
+    };
+
     bool hasFreeSlot() const { return m_slots == 0 || m_workMeter.inFlight() < m_slots; }
-    void start(TargetFlow&);
+    void start(const FlowId&, TargetFlow&);
 
     const Clock& m_clock;
     WorkMeter m_workMeter;
     RequestQueue m_queue;
+    std::vector<StartedRequest> m_started; // in flight, or ended since the last expireUnanswered()
     unsigned m_slots = 0;
 };
 
--- a/libs/steering/route_table.h
+++ b/libs/steering/route_table.h
@@ -40,6 +40,7 @@
     std::chrono::milliseconds objective { 0 }; // latency objective of its requests; 0: none
     std::chrono::milliseconds timeout { 0 }; // how long callers wait for an answer; 0: not known
     uint32_t priority = 0; // of its requests when they queue; 0 is served first
+    bool isIdempotent = false; // its callers may repeat a request that may have run
     std::vector<ServiceKey>
         formerServices; // services of earlier configurations, newest first, at most maxFormerServices
 
--- a/libs/steering/target_flows.cc
+++ b/libs/steering/target_flows.cc
@@ -42,6 +42,25 @@
     hasRequestEnd = true;
 }
 
+void TargetFlow::recordTargetData(const FlowPacket& packet)
+{
+    uint32_t end = packet.sequence + packet.length + (packet.syn ? 1 : 0);
+    bool hasData = packet.length > 0 || packet.syn;
+    if (!seenFromTarget || (hasData && isAfter(end, answerEnd)))
+        answerEnd = end;
+}
+
+bool TargetFlow::hasOvertakenData(const FlowPacket& packet) const
+{
+    return seenFromTarget && isAfter(packet.sequence, answerEnd);
+}
+
+bool TargetFlow::isEndWithoutAnswer(const FlowPacket& packet) const
+{
+    bool hasRequest = packet.ack && hasRequestEnd && !isAfter(requestEnd, packet.acknowledged);
+    return (packet.fin || packet.reset) && hasRequest && !hasOvertakenData(packet);
+}
+
 TargetFlow* TargetFlows::find(const FlowId& id)
 {
     auto found = m_flows.find(id);
@@ -90,7 +109,7 @@
         TargetFlow& flow = i->second;
         if (flow.established) {
             flow.targetEnded = true;
-            flow.isRequestQueued = flow.isRequestInFlight = false;
+            flow.isRequestQueued = flow.isRequestInFlight = flow.isRequestUnanswered = false;
             ++i;
             continue;
         }
--- a/libs/steering/target_flows.h
+++ b/libs/steering/target_flows.h
@@ -29,12 +29,14 @@
     bool hasRequestEnd = false; // requestEnd is known
     bool isRequestQueued = false; // a request of the flow is in the RequestQueue
     bool isRequestInFlight = false; // a request was forwarded and its answer has not begun
+    bool isRequestUnanswered = false; // the newest request had no answer in time; the answer may still come
     bool callerClosed = false;
     bool targetClosed = false;
     bool targetEnded = false; // the target has restarted or was replaced; it does not hold the flow
     uint32_t targetIsn = 0; // initial sequence number of the target, from its SYN-ACK
+    uint32_t answerEnd = 0; // sequence number after the newest data of the target; valid when seenFromTarget
     uint32_t requestEnd = 0; // sequence number after the newest caller data that was seen or acknowledged
-    Time requestForwarded; // time at which the request in flight was forwarded
+    Time requestForwarded; // time at which the newest request was forwarded
 
     bool isClosing() const { return callerClosed || targetClosed; }
     // Updates requestEnd from a packet with data of the caller. Returns false for repeated data.
@@ -45,6 +47,13 @@
     bool isAckOfSynAck(const FlowPacket&) const;
     // Updates requestEnd from a packet of the target: it has received the caller's data up to the acknowledged number.
     void recordTargetAck(const FlowPacket&);
+    // Updates answerEnd from a packet of the target.
+    void recordTargetData(const FlowPacket&);
+    // True when the target's packet does not follow the target's data that was seen: it has overtaken other packets.
+    bool hasOvertakenData(const FlowPacket&) const;
+    // True when the target's packet ends the flow after the target has received all data of the caller, and no data of
+    // the target is on its way.
+    bool isEndWithoutAnswer(const FlowPacket&) const;
 };
 
 class TargetFlows {
