Hold the first election of a group without waiting for timeouts

Cause: after a loss of power the stores open over half a second.

Change: until it has seen a leader, and for ten election timeouts at most, an instance asks for pre-votes from its start and repeats them every 15 ms. Pre-candidates yield to the one with the newest log and then the lowest ID, which refuses the others' pre-votes a few times; an instance with a newer log than a pre-candidate's asks itself. Votes, terms and logs are as before: only when pre-votes are asked and granted has changed, so a leader still needs a quorum of votes.

--- a/libs/raft/raft.cc
+++ b/libs/raft/raft.cc
@@ -27,6 +27,7 @@
     , m_random(random)
     , m_self(contents.instance)
     , m_hardState(contents.state)
+    , m_started(clock.now())
     // The last leader contact before a restart is unknown, so assume that a lease was renewed just now.
     , m_lastLeaderContact(options.leaseReads ? clock.now() : clock.now() - options.electionTimeout)
 {
@@ -44,6 +45,9 @@
         m_actions.emplace_back(InstallSnapshot { *m_snapshot });
     }
     restartElectionTimer();
+    bool asksAtOnce = !options.leaseReads && isInFirstElection();
+    if (asksAtOnce) // a pre-vote disturbs no running group
+        m_electionDeadline = m_started;
 }
 
 std::vector<RaftAction> Raft::handle(RaftEvent event)
@@ -66,8 +70,10 @@
 {
     Time now = m_clock.now();
     if (!isLeader()) {
-        if (now < m_electionDeadline)
+        if (now < m_electionDeadline) {
+            repeatPreVote();
             return;
+        }
         restartElectionTimer();
         if (canCampaign() && !m_stopDeadline)
             campaign(true, false);
--- a/libs/raft/raft.h
+++ b/libs/raft/raft.h
@@ -32,6 +32,9 @@
 
 struct RaftOptions {
     Duration electionTimeout = std::chrono::seconds(1); // each timeout is drawn from one to two times this
+    // In the first election after its start, an instance repeats its pre-vote at this interval, so that the election
+    // does not wait for a timeout after the last needed instance has started. 0: no repetition.
+    Duration preVoteInterval = std::chrono::milliseconds(15);
     Duration heartbeatInterval = std::chrono::milliseconds(100);
     size_t maxEntryBytes = 1 << 20; // largest proposal; at most StoreOptions::maxEntryBytes
     size_t maxMessageBytes = 1 << 20; // entry or snapshot data per message
@@ -158,6 +161,11 @@
     void onMessage(InstanceId from, Term term, const VoteReply& reply);
     void onMessage(InstanceId from, Term term, const TimeoutNow& request);
     void restartElectionTimer();
+    bool isInFirstElection() const;
+    void requestVotes(bool preVote, bool leadershipTransfer);
+    void repeatPreVote();
+    bool isOwnPreVoteFirst();
+    void yieldTo(InstanceId other, const VoteRequest&);
     bool canCampaign() const;
     void campaign(bool preVote, bool leadershipTransfer);
     void countVotes();
@@ -211,6 +219,9 @@
     LogIndex m_lastApplied = 0;
     Time m_electionDeadline;
     bool m_hasSeenLeader = false; // since the start of this process
+    unsigned m_preVotesRefused = 0; // in the first election, since the last campaign()
+    Time m_lastPreVote; // when the last pre-votes were requested
+    const Time m_started; // start of this process
     Time m_lastLeaderContact; // no vote for another candidate until an election timeout after this
     std::set<InstanceId> m_votesGranted;
     uint64_t m_voteBatchNumber = 0; // batch that holds this candidate's vote for itself
--- a/libs/raft/raft_election.cc
+++ b/libs/raft/raft_election.cc
@@ -33,21 +33,73 @@
     m_role = preVote ? RaftRole::PreCandidate : RaftRole::Candidate;
     m_leader = InstanceId();
     m_votesGranted.clear();
+    m_preVotesRefused = 0;
     m_incomingSnapshot.reset();
-    Term term(m_hardState.term.value() + 1);
     if (preVote) {
         m_votesGranted.insert(m_self);
     } else {
         // The vote for itself counts once it is durable.
-        setTerm(term, m_self);
+        setTerm(Term(m_hardState.term.value() + 1), m_self);
         m_voteBatchNumber = m_lastBatchNumber + 1;
     }
+    requestVotes(preVote, leadershipTransfer);
+    countVotes();
+}
+
+// Requests the vote of each voter that has not granted it.
+void Raft::requestVotes(bool preVote, bool leadershipTransfer)
+{
+    Term term(m_hardState.term.value() + (preVote ? 1 : 0));
+    VoteRequest request { preVote, leadershipTransfer, m_log.lastIndex(), m_log.lastTerm() };
+    if (preVote)
+        m_lastPreVote = m_clock.now();
     for (InstanceId id : configuration().voters) {
-        if (id != m_self)
-            sendInTerm(
-                id, term, VoteRequest { preVote, leadershipTransfer, m_log.lastIndex(), m_log.lastTerm() }, true);
+        if (id != m_self && m_votesGranted.count(id) == 0)
+            sendInTerm(id, term, request, true);
+    }
+}
+
+// Bounded in time, since a group that has lost its quorum for good would send pre-votes without end.
+bool Raft::isInFirstElection() const
+{
+    constexpr int maxTimeouts = 10;
+    return m_options.preVoteInterval > Duration::zero() && !m_hasSeenLeader
+        && m_clock.now() - m_started < maxTimeouts * m_options.electionTimeout;
+}
+
+// After a common start, the instances that start first wait for the others. Their requests are lost until these run.
+void Raft::repeatPreVote()
+{
+    bool isDue = m_role == RaftRole::PreCandidate && m_clock.now() - m_lastPreVote >= m_options.preVoteInterval;
+    if (isInFirstElection() && isDue)
+        requestVotes(true, false);
+}
+
+// A pre-candidate that has not yielded refuses the others, whose vote it needs itself. Only a few times, since it may not
+// reach a quorum while another does.
+bool Raft::isOwnPreVoteFirst()
+{
+    constexpr unsigned maxRefusals = 4;
+    return isInFirstElection() && m_role == RaftRole::PreCandidate && ++m_preVotesRefused <= maxRefusals;
+}
+
+// Of several pre-candidates in the first election, the one with the newest log and then the lowest ID continues. When
+// just a quorum runs, two candidates of one term would split its votes and both fail. The others ask again after their
+// timeouts, in case it does not succeed.
+void Raft::yieldTo(InstanceId other, const VoteRequest& request)
+{
+    auto rankOf = [](Term lastTerm, LogIndex lastIndex) { return std::make_pair(lastTerm, lastIndex); };
+    auto ownRank = rankOf(m_log.lastTerm(), m_log.lastIndex());
+    auto otherRank = rankOf(request.lastLogTerm, request.lastLogIndex);
+    bool isOtherFirst = ownRank < otherRank || (ownRank == otherRank && other < m_self);
+    if (m_role == RaftRole::PreCandidate && isOtherFirst) {
+        m_role = RaftRole::Follower;
+        restartElectionTimer();
+    } else if (m_role == RaftRole::Follower && otherRank < ownRank && canCampaign() && !m_stopDeadline) {
+        // The other needs this instance's vote and cannot get it, so this one asks without waiting for its timeout.
+        restartElectionTimer();
+        campaign(true, false);
     }
-    countVotes();
 }
 
 void Raft::countVotes()
@@ -70,7 +122,9 @@
     // A leader may rely on its lease while this instance has recent contact with it, so no vote is granted to another.
     bool isLeaseActive = isLeader() || m_clock.now() - m_lastLeaderContact < m_options.electionTimeout;
     if (request.preVote) {
-        bool granted = term > m_hardState.term && isUpToDate && !isLeaseActive;
+        if (isInFirstElection() && !isLeaseActive)
+            yieldTo(from, request);
+        bool granted = term > m_hardState.term && isUpToDate && !isLeaseActive && !isOwnPreVoteFirst();
         sendInTerm(from, granted ? term : m_hardState.term, VoteReply { true, granted }, true);
         return;
     }
