Report registrations to agents at once

Cause: with an earlier leader, agents became the last step after a loss of power: a registration does not change the state's index, so no notice told them of it, and they refused new flows until their next polls of 30 to 60 ms, up to 75 ms after they had the state.

Change: when a registration is applied, the leader and the two instances that notify the agent send it the reply that its next poll would get. Records that were not announced since the start of the instance come from the log and are not reported.

--- a/libs/cluster/control_core.cc
+++ b/libs/cluster/control_core.cc
@@ -281,7 +281,9 @@
     m_members.applyRegister(m_state.members());
     std::string agents;
     for (const steering::MemberRecord& record : command.members) {
-        if (!added)
+        if (added)
+            reportRegistration(record);
+        else
             m_members.remove(record);
         agents += agents.empty() ? "" : ",";
         agents += formatAddress(record.agent.address) + ":" + std::to_string(record.agent.port);
--- a/libs/cluster/control_core.h
+++ b/libs/cluster/control_core.h
@@ -167,6 +167,7 @@
     void refreshForwardingState();
     void notifyPollers();
     bool isNotifierOf(Endpoint poller) const;
+    void reportRegistration(const steering::MemberRecord&);
     void expirePollers();
     void updateRegister();
     void proposeRegisterChanges(RegisterChanges);
--- a/libs/cluster/control_core_test.cc
+++ b/libs/cluster/control_core_test.cc
@@ -99,6 +99,8 @@
                 net->messages.emplace_back(addressOf(index).peer, receiver, envelope);
             else if (envelope.kind == MessageKind::StateNotice)
                 notified.push_back(to);
+            else if (envelope.kind == MessageKind::PollReply)
+                replies.emplace_back(to, envelope);
         }
         void persist(uint64_t batchNumber, const StoreBatch&) override { batches.push_back(batchNumber); }
         void answer(RequestNumber request, const Answer& given) override { answers[request] = given; }
@@ -112,6 +114,7 @@
         bool isDiskBlocked = false;
         std::map<RequestNumber, Answer> answers;
         std::vector<Endpoint> notified; // recipients of state notices
+        std::vector<std::pair<Endpoint, Envelope>> replies; // to polls, by recipient
     };
 
     ManualClock clock;
@@ -251,6 +254,39 @@
     CHECK(core.refusedAnnouncements() == 2);
 }
 
+// Guards against a slow recovery: after a loss of power, agents waited for their next polls to learn that their targets
+// were registered, and refused new flows until then.
+TEST_CASE("control: an agent is told of its registration without another poll", "[control]")
+{
+    ThreeInstanceGroup group;
+    steering::MemberRecord record;
+    record.agent = { 0x0A020001, 8172 };
+    record.service = steering::serviceKey("hub");
+    record.state = steering::TargetState::Ready;
+    record.incarnation = 7;
+    record.sequence = record.targetStartSequence = 2;
+    Poll poll;
+    poll.records.push_back(record);
+    size_t follower = (group.leader() + 1) % instanceCount;
+    group.nodes[follower].core->onMessage(record.agent, { MessageKind::Poll, encodeMessage(poll) });
+    for (auto& node : group.nodes)
+        node.replies.clear();
+    group.run(200ms);
+    size_t reports = 0;
+    for (auto& node : group.nodes) {
+        for (const auto& [to, envelope] : node.replies) {
+            PollReply reply;
+            REQUIRE(decodeMessage(envelope.body, reply));
+            CHECK(to == record.agent);
+            CHECK(reply.registeredIncarnation == record.incarnation);
+            CHECK(reply.registeredStart == record.targetStartSequence);
+            ++reports;
+        }
+    }
+    CHECK(reports >= 1);
+    CHECK(reports <= 3); // by the leader and two more
+}
+
 // Guards against unbounded memory and an unbounded number of notices.
 TEST_CASE("the number of pollers that an instance tracks is bounded", "[core]")
 {
--- a/libs/cluster/control_polls.cc
+++ b/libs/cluster/control_polls.cc
@@ -98,6 +98,20 @@
     return before < notifiersPerPoller;
 }
 
+// Tells an agent that its target's start is registered, since the agent refuses new flows until it knows. Its next poll
+// may reach an instance that has not applied the entry yet. Records that have not been announced since the start of
+// this process come from the log and need no report.
+void ControlCore::reportRegistration(const steering::MemberRecord& record)
+{
+    bool isAnnounced = m_members.incarnationOf(record.agent) == record.incarnation;
+    if (!isAnnounced || !(m_raft.isLeader() || isNotifierOf(record.agent)))
+        return;
+    Poll poll;
+    poll.stateIndex = m_state.index(); // the agent polls for the state by itself
+    poll.records.push_back(record);
+    answerPoll(record.agent, poll, false);
+}
+
 void ControlCore::expirePollers()
 {
     for (auto i = m_pollers.begin(); i != m_pollers.end();)
