--- a/libs/raft/raft_election.cc
+++ b/libs/raft/raft_election.cc
@@ -75,8 +75,8 @@
         requestVotes(true, false);
 }
 
-// A pre-candidate that has not yielded refuses the others, whose vote it needs itself. Only a few times, since it may not
-// reach a quorum while another does.
+// A pre-candidate that has not yielded refuses the others, whose vote it needs itself. Only a few times, since it may
+// not reach a quorum while another does.
 bool Raft::isOwnPreVoteFirst()
 {
     constexpr unsigned maxRefusals = 4;
