--- a/libs/steering/fabric_faults.cc
+++ b/libs/steering/fabric_faults.cc
@@ -93,6 +93,22 @@
     }
 }
 
+void Fabric::injectTargetFault()
+{
+    size_t first = m_random.below(agentCount());
+    bool isWholeService = m_random.below(8) == 0;
+    bool isHanging = m_random.below(3) == 0;
+    Time end = m_clock.now() + std::chrono::milliseconds(200 + m_random.below(2000));
+    for (size_t i = 0; i < agentCount(); ++i) {
+        bool isNeighbour = (i + agentCount() - first) % agentCount() <= agentCount() / 6;
+        bool isAffected = isWholeService ? m_targets[i].service == m_targets[first].service : isNeighbour;
+        if (!isAffected)
+            continue;
+        m_targets[i].failingUntil = end;
+        m_targets[i].isHanging = isHanging;
+    }
+}
+
 void Fabric::kill(size_t process, Duration duration)
 {
     m_faults[process].down = true;
--- a/libs/steering/fabric_simulation.cc
+++ b/libs/steering/fabric_simulation.cc
@@ -61,6 +61,8 @@
             injectFault();
         if (m_options.processFaults && m_random.below(m_options.stepsPerFault) == 0)
             injectProcessFault();
+        if (m_options.targetFaults && m_random.below(m_options.stepsPerFault) == 0)
+            injectTargetFault();
         endFaults();
         deliver();
         sendDueAnswers();
@@ -204,8 +206,7 @@
         flow->second.misdelivered = 0;
         if (packet.length > 0 && packet.sequence == flow->second.sequence) {
             flow->second.sequence += packet.length;
-            flow->second.hasOpenRequest = true;
-            m_answers.emplace(m_clock.now() + std::chrono::milliseconds(m_random.below(600)), packet.flow);
+            onRequestAtTarget(index, flow->second);
         }
         return;
     }
@@ -213,6 +214,27 @@
     bounce(index, packet);
 }
 
+void Fabric::onRequestAtTarget(size_t index, Flow& flow)
+{
+    Target& target = m_targets[index];
+    flow.hasOpenRequest = true;
+    bool isFailing = target.failingUntil > m_clock.now();
+    if (!isFailing) {
+        m_answers.emplace(m_clock.now() + std::chrono::milliseconds(m_random.below(600)), flow.id);
+        return;
+    }
+    if (target.isHanging)
+        return;
+    target.flows.erase(flow.id.caller.port);
+    ++m_resetByTargets;
+    FlowPacket reset;
+    reset.flow = flow.id;
+    reset.reset = reset.ack = true;
+    reset.sequence = flow.acknowledged;
+    reset.acknowledged = flow.sequence;
+    sendFromTarget(index, reset);
+}
+
 bool Fabric::isOpenAt(size_t index, uint16_t port) const
 {
     auto found = m_targets[index].flows.find(port);
--- a/libs/steering/fabric_simulation.h
+++ b/libs/steering/fabric_simulation.h
@@ -5,6 +5,7 @@
 //
 // With `processFaults`, processes are also killed, frozen, slowed and added, entries are restarted in turn, the targets
 // of a service are replaced one after the other, and targets bounce packets late or not at all. These faults overlap.
+// With `targetFaults`, targets reset flows that send a request, or do not answer, while their heartbeats are good.
 #pragma once
 
 #include "core/random.h"
@@ -26,6 +27,7 @@
     size_t entries = 3;
     std::array<size_t, 3> targets { 3, 2, 2 }; // of each service
     bool processFaults = false;
+    bool targetFaults = false;
     uint64_t stepsPerFault = 60; // mean number of simulation steps between faults
 };
 
@@ -50,6 +52,8 @@
     size_t requestsQueued() const { return m_requestsQueued; }
     size_t lost() const { return m_lost; }
     size_t lostAndReset() const { return m_lostAndReset; }
+    size_t resetByTargets() const { return m_resetByTargets; }
+    size_t passedOnAsEjected() const { return m_passedOnAsEjected; }
 
 private:
     struct Target {
@@ -59,6 +63,8 @@
         bool draining = false;
         std::map<uint16_t, bool> flows; // by the caller's port; true: the caller has chosen this target
         Time slowUntil; // until then the target bounces packets late or not at all
+        Time failingUntil; // until then the target resets flows with a request, or does not answer
+        bool isHanging = false; // while it fails, the target does not answer
     };
     // Current faults of the process of an entry or agent.
     struct Fault {
@@ -142,10 +148,11 @@
         {
             fabric.onPacketAtCaller(flow, { packet, packet + size }, index);
         }
-        void onDecision(Decision decision, const FlowId& flow, const DecisionInputs&) override
+        void onDecision(Decision decision, const FlowId& flow, const DecisionInputs& inputs) override
         {
             if (decision == Decision::Waiting)
                 fabric.recordQueuedRequest(index, flow.caller.port);
+            fabric.m_passedOnAsEjected += std::strcmp(inputs.reason, "target is ejected") == 0 ? 1 : 0;
         }
         void onLatency(Latency, Duration) override { }
         Fabric& fabric;
@@ -195,6 +202,9 @@
     void injectFault();
     // Injects one of the faults that FabricOptions::processFaults enables.
     void injectProcessFault();
+    // Lets a few targets fail, or sometimes all of a service.
+    void injectTargetFault();
+    void onRequestAtTarget(size_t index, Flow&);
     void kill(size_t process, Duration);
     void freeze(size_t process, Duration);
     void endFaults();
@@ -227,6 +237,8 @@
     size_t m_requestsQueued = 0; // requests that were queued at an agent
     size_t m_lost = 0; // flows whose target ended while they were open
     size_t m_lostAndReset = 0; // lost flows that were reset before the caller gave up
+    size_t m_resetByTargets = 0; // flows that a failing target reset
+    size_t m_passedOnAsEjected = 0; // times that an agent passed a flow on because its target was ejected
     size_t m_opened = 0;
     size_t m_delivered = 0;
     std::string m_violation;
--- a/libs/steering/steering_schedule_test.cc
+++ b/libs/steering/steering_schedule_test.cc
@@ -27,6 +27,8 @@
     size_t requestsQueued = 0;
     size_t lost = 0;
     size_t lostAndReset = 0;
+    size_t resetByTargets = 0;
+    size_t passedOnAsEjected = 0;
     std::string failures;
 };
 
@@ -49,6 +51,8 @@
         totals.requestsQueued += fabric.requestsQueued();
         totals.lost += fabric.lost();
         totals.lostAndReset += fabric.lostAndReset();
+        totals.resetByTargets += fabric.resetByTargets();
+        totals.passedOnAsEjected += fabric.passedOnAsEjected();
     }
     return totals;
 }
@@ -99,3 +103,30 @@
     CHECK(totals.opened > 150 * count);
     CHECK(totals.delivered > 1000 * count);
 }
+
+// Also guards against flows that an ejected member must not take back as the last resort, for example because its
+// target has begun to drain meanwhile, and against open flows that an ejection moves.
+TEST_CASE("open flows keep their targets while targets fail behind good heartbeats", "[schedules]")
+{
+    FabricOptions options;
+    options.targetFaults = true;
+    SECTION("few targets") { }
+    SECTION("12 targets whose processes fail too")
+    {
+        options.targets = { 5, 4, 3 };
+        options.processFaults = true;
+    }
+    SECTION("200 targets whose processes fail too")
+    {
+        options.targets = { 180, 14, 6 };
+        options.processFaults = true;
+        options.stepsPerFault = 20;
+    }
+    uint64_t count = scheduleCount(options.targets[0] > 100 ? 20 : 300);
+    Totals totals = runSchedules(options, count);
+    INFO(totals.failures.substr(0, 2000));
+    CHECK(totals.failures.empty());
+    CHECK(totals.opened > 150 * count);
+    CHECK(totals.resetByTargets > 10 * count);
+    CHECK(totals.passedOnAsEjected > 10 * count);
+}
