Limit answers by service times only once some are known

Cause: before a target's first answer the limit for an answer was 300 ms, whatever the service. Targets whose requests take longer would have been given requests beyond their slots until their first answer, and counted as failing.

Change: without an answer, the request's timeout is the only limit. With detection switched off, no answer sets a limit, so requests keep their slots until their timeouts as before.

--- a/daemons/flow_agent_daemon.cc
+++ b/daemons/flow_agent_daemon.cc
@@ -99,7 +99,8 @@
         return;
     m_loggedOutlierState = state;
     auto age = std::chrono::duration_cast<std::chrono::milliseconds>(outliers.lastFailureAge());
-    auto limit = std::chrono::duration_cast<std::chrono::milliseconds>(outliers.answerLimit());
+    auto limit
+        = std::chrono::duration_cast<std::chrono::milliseconds>(outliers.answerLimit().value_or(Duration::zero()));
     m_base.log->write(eventOf(state),
         { { "failure", steering::targetFailureName(outliers.lastFailure()) }, { "failure-age-ms", age.count() },
             { "answer-limit-ms", limit.count() } });
--- /dev/null
+++ b/libs/steering/agent_target.cc
@@ -0,0 +1,202 @@
+// The part of AgentSteering at the target: it forwards packets and queued requests, takes the target's packets, and
+// judges the target by the results of its requests.
+#include "steering/agent_steering.h"
+
+#include <algorithm>
+
+namespace cicadaward::steering {
+
+namespace {
+
+    constexpr Duration expiryInterval = std::chrono::seconds(1);
+    constexpr Duration defaultIdleLimit = std::chrono::seconds(15);
+    // A longer time between two ticks means that this process was suspended; answers of the target may be waiting in
+    // the socket, and are read within the same time.
+    constexpr Duration maxTickInterval = std::chrono::milliseconds(150);
+
+} // namespace
+
+void AgentSteering::forwardQueuedRequests()
+{
+    while (std::optional<QueuedRequest> queued = m_requests.takeNext(m_flows)) {
+        m_observer.onLatency(Latency::RequestWaited, m_clock.now() - queued->request.arrived);
+        forwardToTarget(*queued);
+    }
+}
+
+void AgentSteering::forwardToTarget(QueuedRequest& queued)
+{
+    for (QueuedPacket& packet : queued.packets)
+        forwardToTarget(packet.frame, queued.request.flow, packet.bytes.data(), packet.bytes.size());
+}
+
+void AgentSteering::forwardToTarget(const Frame& frame, const FlowId& flow, uint8_t* data, size_t size)
+{
+    uint32_t mark = ++m_lastMark;
+    if (mark == 0) // 0 means that the packet has no mark
+        mark = ++m_lastMark;
+    ForwardedPacket& forwarded = m_forwardedPackets[mark % m_forwardedPackets.size()];
+    forwarded.mark = mark;
+    forwarded.flow = flow;
+    forwarded.frame = frame;
+    m_format.prepareForTarget(data, mark);
+    m_output.sendToTarget(data, size);
+}
+
+void AgentSteering::onTargetPacket(uint8_t* data, size_t size)
+{
+    std::optional<FlowPacket> packet = m_format.decode(data, size, Direction::FromTarget);
+    if (!packet) {
+        m_observer.onDecision(Decision::Malformed, {}, { {}, "malformed packet from the target" });
+        return;
+    }
+    m_admission.onTargetActivity();
+    if (packet->bounced) {
+        onBounced(*packet, data, size);
+        return;
+    }
+    m_output.sendToCaller(packet->flow, data, size);
+    TargetFlow* flow = m_flows.find(packet->flow);
+    if (!flow && !packet->reset)
+        flow = m_flows.add(packet->flow, m_clock.now());
+    if (!flow) {
+        m_hasUntrackedFlows = m_hasUntrackedFlows || !packet->reset;
+        return;
+    }
+    recordResult(*packet, *flow);
+    flow->lastPacket = m_clock.now();
+    flow->targetEnded = false;
+    flow->recordTargetData(*packet);
+    flow->seenFromTarget = true;
+    flow->recordTargetAck(*packet);
+    if (packet->syn)
+        flow->recordSynAck(*packet);
+    else
+        flow->established = true;
+    if (!flow->answered) {
+        flow->answered = true;
+        m_admission.onFlowAnswered(packet->flow);
+        if (packet->syn)
+            m_observer.onLatency(Latency::FlowOpened, m_clock.now() - flow->opened);
+    }
+    sendLocated(packet->flow, *flow);
+    if (packet->fin)
+        onTargetClosed(*packet, *flow);
+    if (packet->reset)
+        eraseFlow(packet->flow);
+    forwardQueuedRequests();
+}
+
+// No answer follows a close, unless the packet has overtaken it. A queued request is forwarded so that the target
+// refuses it, which tells the caller at once.
+void AgentSteering::onTargetClosed(const FlowPacket& packet, TargetFlow& flow)
+{
+    m_flows.markClosed(flow, &TargetFlow::targetClosed);
+    bool isAnswerOnItsWay = flow.isRequestInFlight && flow.hasOvertakenData(packet);
+    if (isAnswerOnItsWay)
+        return;
+    if (std::optional<QueuedRequest> queued = m_requests.cancel(packet.flow, flow))
+        forwardToTarget(*queued);
+}
+
+// Records the answer to the request in flight, or its failure. An answer after the timeout is of no use to the caller
+// and does not show that the target works. The end of an idle flow is no failure, and neither is anything that a
+// draining target does.
+void AgentSteering::recordResult(const FlowPacket& packet, TargetFlow& flow)
+{
+    Duration serviceTime = m_clock.now() - flow.requestForwarded;
+    if (packet.length > 0 && flow.isRequestInFlight) {
+        m_observer.onLatency(Latency::RequestAnswered, serviceTime);
+        m_outliers.onAnswered(serviceTime);
+        m_requests.finish(flow);
+        return;
+    }
+    if (packet.length > 0 && flow.isRequestUnanswered) {
+        if (serviceTime <= requestPolicyOf(packet.flow).timeout)
+            m_outliers.onAnsweredLate(serviceTime);
+        flow.isRequestUnanswered = false;
+        return;
+    }
+    bool isSynRefused = packet.reset && flow.synForwarded && !flow.answered;
+    bool isRequestCut = flow.isRequestInFlight && !flow.isClosing() && flow.isEndWithoutAnswer(packet);
+    if (m_registration.state() != TargetState::Ready || !(isSynRefused || isRequestCut))
+        return;
+    m_outliers.onFailed(packet.reset ? TargetFailure::Reset : TargetFailure::Closed, packet.flow.caller.address);
+}
+
+void AgentSteering::onBounced(const FlowPacket& packet, uint8_t* data, size_t size)
+{
+    eraseFlow(packet.flow);
+    forwardQueuedRequests();
+    const ForwardedPacket& forwarded = m_forwardedPackets[packet.mark % m_forwardedPackets.size()];
+    if (packet.mark == 0 || forwarded.mark != packet.mark || !(forwarded.flow == packet.flow)) {
+        m_observer.onDecision(Decision::NotHeld, packet.flow, { {}, "bounced with an unknown mark" });
+        return;
+    }
+    Frame frame = forwarded.frame;
+    m_format.prepareForTarget(data, 0);
+    passOn(frame, packet, "bounced", data, size);
+}
+
+void AgentSteering::sendLocated(const FlowId& id, TargetFlow& flow)
+{
+    if (flow.entryToNotify.port == 0)
+        return;
+    Frame frame;
+    frame.kind = FrameKind::Located;
+    encodeFrame(frame, nullptr, 0, m_frameBuffer);
+    encodeFlow(id, m_frameBuffer);
+    m_output.sendFrame(flow.entryToNotify, m_frameBuffer);
+    flow.entryToNotify = {};
+}
+
+void AgentSteering::eraseFlow(const FlowId& id)
+{
+    TargetFlow* flow = m_flows.find(id);
+    if (!flow)
+        return;
+    m_requests.cancel(id, *flow);
+    m_admission.onFlowAnswered(id);
+    m_flows.erase(id);
+}
+
+void AgentSteering::onTick()
+{
+    detectUnanswered();
+    if (m_clock.now() - m_lastExpiry >= expiryInterval)
+        expire();
+    forwardQueuedRequests();
+}
+
+void AgentSteering::detectUnanswered()
+{
+    Time now = m_clock.now();
+    if (now - m_lastTick > maxTickInterval)
+        m_pausedUntil = now + maxTickInterval;
+    m_lastTick = now;
+    bool wasPaused = now < m_pausedUntil;
+    bool isDetecting = !wasPaused && m_registration.state() == TargetState::Ready;
+    for (const FlowId& flow : m_admission.onTick()) {
+        if (isDetecting)
+            m_outliers.onFailed(TargetFailure::SynUnanswered, flow.caller.address);
+    }
+    Duration answerLimit = wasPaused ? Duration::max() : m_outliers.answerLimit().value_or(Duration::max());
+    m_requests.expireUnanswered(
+        m_flows, [&](const FlowId& id) { return std::min(answerLimit, requestPolicyOf(id).timeout); },
+        [&](const FlowId& id, const TargetFlow& flow) {
+            if (isDetecting && !flow.isClosing())
+                m_outliers.onFailed(TargetFailure::Unanswered, id.caller.address);
+        });
+}
+
+void AgentSteering::expire()
+{
+    m_lastExpiry = m_clock.now();
+    Duration idleLimit = m_routes.configuration().flowIdleLimit;
+    if (idleLimit == Duration::zero())
+        idleLimit = defaultIdleLimit;
+    m_flows.expire(m_lastExpiry, idleLimit, m_options.closedRetention,
+        [this](const FlowId& id, TargetFlow& flow) { m_requests.cancel(id, flow); });
+}
+
+} // namespace cicadaward::steering
--- a/libs/steering/outlier_detector.cc
+++ b/libs/steering/outlier_detector.cc
@@ -105,6 +105,8 @@
 
 void OutlierDetector::onAnswered(Duration serviceTime)
 {
+    if (!m_options.isEnabled)
+        return;
     m_slowestAnswer = std::max(serviceTime, m_slowestAnswer - m_slowestAnswer / slowestAnswerDecay);
     m_consecutiveFailures = 0;
     if (state() != OutlierState::HalfOpen)
@@ -129,10 +131,15 @@
     m_ejections = m_consecutiveFailures = m_consecutiveAnswers = 0;
     m_recentFailures = 0;
     m_lastFailure = TargetFailure::None;
-    m_slowestAnswer = initialSlowestAnswer;
+    m_slowestAnswer = Duration::zero();
 }
 
-Duration OutlierDetector::answerLimit() const { return std::max(minAnswerLimit, answerLimitFactor * m_slowestAnswer); }
+std::optional<Duration> OutlierDetector::answerLimit() const
+{
+    if (m_slowestAnswer == Duration::zero())
+        return std::nullopt;
+    return std::max(minAnswerLimit, answerLimitFactor * m_slowestAnswer);
+}
 
 double OutlierDetector::recentFailures() const
 {
--- a/libs/steering/outlier_detector.h
+++ b/libs/steering/outlier_detector.h
@@ -20,6 +20,7 @@
 #include "core/clock.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace cicadaward::steering {
 
@@ -67,8 +68,9 @@
     void onAnsweredLate(Duration serviceTime);
     void reset(); // call when the target has restarted
 
-    // A request without an answer for longer has failed.
-    Duration answerLimit() const;
+    // A request without an answer for longer has failed. None before the first answer, when only the request's timeout
+    // limits it: nothing is known about the service times then.
+    std::optional<Duration> answerLimit() const;
     // Exponentially weighted number of failures of about the last 5 s.
     double recentFailures() const;
     // The newest failure and the time since then. None before the first one.
@@ -92,9 +94,7 @@
     TargetFailure m_lastFailure = TargetFailure::None;
     Time m_lastFailureAt;
     double m_recentFailures = 0; // as of m_lastFailureAt
-    Duration m_slowestAnswer = initialSlowestAnswer; // decaying maximum
-
-    static constexpr Duration initialSlowestAnswer = std::chrono::milliseconds(100); // before the first answer
+    Duration m_slowestAnswer {}; // decaying maximum; 0: no answer yet
 };
 
 } // namespace cicadaward::steering
