Log resets of flows apart from routine decisions, and count them by reason

What the operators saw: nothing, and our logs could miss it. The log wrote at most 20 decisions on flows a second of any kind, so routine ones could suppress a reset, a refusal or a lost flow, and the counter of resets did not tell a target's end from a denial by all members.

Decisions that a caller may notice now have a limit of their own, and a counter for each reason.

--- a/daemons/flow_agent_daemon.h
+++ b/daemons/flow_agent_daemon.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "cluster/poller.h"
+#include "decision_log.h"
 #include "flow_adapter.h"
 #include "flow_daemon.h"
 #include "steering/agent_steering.h"
--- a/daemons/flow_daemon.cc
+++ b/daemons/flow_daemon.cc
@@ -3,7 +3,6 @@
 #include "cluster/codec.h"
 
 #include <absl/strings/match.h>
-#include <boost/asio/post.hpp>
 #include <csignal>
 #include <iostream>
 #include <random>
@@ -46,52 +45,6 @@
     return seeds;
 }
 
-DecisionLog::DecisionLog(const Clock& clock, EventLog& log, MetricRegistry& metrics, uint32_t maxLinesPerSecond)
-    : m_clock(clock)
-    , m_log(log)
-    , m_maxLinesPerSecond(maxLinesPerSecond)
-    , m_windowStart(clock.now())
-{
-    for (size_t i = 0; i < m_counters.size(); ++i)
-        m_counters[i] = &metrics.counter(std::string("flow.") + decisionName(static_cast<steering::Decision>(i)));
-    for (size_t i = 0; i < m_latencies.size(); ++i)
-        m_latencies[i] = &metrics.histogram(steering::latencyName(static_cast<steering::Latency>(i)));
-}
-
-bool DecisionLog::tryConsumeLine()
-{
-    if (m_clock.now() - m_windowStart >= std::chrono::seconds(1)) {
-        m_windowStart = m_clock.now();
-        m_linesInWindow = 0;
-        if (m_suppressedLines > 0)
-            m_log.write(EventId::DecisionsSuppressed, { { "count", m_suppressedLines } });
-        m_suppressedLines = 0;
-    }
-    if (m_linesInWindow < m_maxLinesPerSecond) {
-        ++m_linesInWindow;
-        return true;
-    }
-    ++m_suppressedLines;
-    return false;
-}
-
-void DecisionLog::onDecision(
-    steering::Decision decision, const steering::FlowId& flow, const steering::DecisionInputs& inputs)
-{
-    m_counters[static_cast<size_t>(decision)]->add();
-    if (!tryConsumeLine())
-        return;
-    m_log.write(EventId::FlowDecision,
-        { { "decision", decisionName(decision) }, { "caller", formatEndpoint(flow.caller) },
-            { "address", formatEndpoint(flow.service) }, { "member", formatEndpoint(inputs.member) },
-            { "reason", inputs.reason }, { "version", inputs.version }, { "load", inputs.load } });
-}
-
-void DecisionLog::onLatency(steering::Latency latency, Duration duration)
-{
-    m_latencies[static_cast<size_t>(latency)]->add(duration);
-}
-
 FlowDaemonBase::FlowDaemonBase(const Settings& settings)
     : context(1)
     , random(randomSeed())
--- a/daemons/flow_daemon.h
+++ b/daemons/flow_daemon.h
@@ -12,9 +12,7 @@
 #include "observe/event_log.h"
 #include "observe/metrics.h"
 #include "settings/settings.h"
-#include "steering/decisions.h"
 
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -30,28 +28,6 @@
 // The datagram endpoints of the seeds: their addresses with the port that all control instances use.
 std::vector<Endpoint> controlSeeds(const Settings&);
 
-// Counts every steering decision, records the latencies in histograms and logs at most `maxLinesPerSecond` decisions,
-// one line each. The event loop thread writes the lines; the limit bounds the time for which a slow reader of the log
-// can block it.
-class DecisionLog final : public steering::DecisionObserver {
-public:
-    DecisionLog(const Clock&, EventLog&, MetricRegistry&, uint32_t maxLinesPerSecond);
-    void onDecision(steering::Decision, const steering::FlowId&, const steering::DecisionInputs&) override;
-    void onLatency(steering::Latency, Duration) override;
-
-private:
-    bool tryConsumeLine();
-
-    const Clock& m_clock;
-    EventLog& m_log;
-    const uint32_t m_maxLinesPerSecond;
-    std::array<Counter*, static_cast<size_t>(steering::Decision::Count)> m_counters {};
-    std::array<Histogram*, static_cast<size_t>(steering::Latency::Count)> m_latencies {};
-    Time m_windowStart;
-    uint32_t m_linesInWindow = 0;
-    uint64_t m_suppressedLines = 0;
-};
-
 struct FlowDaemonBase {
     explicit FlowDaemonBase(const Settings&);
 
--- a/libs/settings/flow_settings.cc
+++ b/libs/settings/flow_settings.cc
@@ -19,7 +19,7 @@
             "UDP port of all control instances for messages between daemons" },
         { "log.file", SettingType::Path, "", "", 1, maxPathBytes, "file for events; standard output when not set" },
         { "log.decisions-per-second", SettingType::Number, "lines", "20", 0, 10000,
-            "flow decisions that are logged; the counters have all of them" },
+            "routine flow decisions that are logged, and as many that callers may notice; the counters have all" },
         { "metrics.listen", SettingType::Endpoint, "", "", 0, 0, "HTTP endpoint of the metrics; off when not set" },
     };
 
