Show lost control messages and processes that are behind

Before this commit no log and no metric told a control message above the largest size (the sender dropped it when it had too many fragments, the receiver when it decompressed to more than 4 MiB), a message of which a fragment was lost, datagrams that the kernel dropped, or an entry or agent that had heard of a newer state and did not get it.

- Fragmenter::split() returns a status for a message above maxMessageBytes or of too many fragments; event 406, counter.
- Assembler counts damaged (or too large) and incomplete messages; event 407 at most once a second, counter.
- Poller knows the newest state index that it has heard of and since when it makes no progress towards it; events 211 and 212 after 2 s, gauges state.heard-index, state.behind-ms, control.last-reply-ms.
- UdpPort reads the kernel's count of dropped datagrams (SO_MEMINFO); gauges control.receive-drops, entry.receive-drops.

--- a/daemons/flow_agent_daemon.cc
+++ b/daemons/flow_agent_daemon.cc
@@ -145,8 +145,8 @@
     m_base.metrics.gauge("agent.registered").set(m_steering.isRegistered());
     m_base.metrics.gauge("target.state").set(int64_t(m_steering.registration().state()));
     m_base.metrics.gauge("target.outlier-state").set(int64_t(m_steering.outliers().state()));
-    m_base.metrics.gauge("state.index").set(int64_t(m_poller.stateIndex()));
-    m_base.metrics.gauge("control.in-contact").set(m_poller.isInContact());
+    updatePollerGauges(m_base.metrics, m_poller);
+    m_peers.updateGauges();
 }
 
 void FlowAgentDaemon::handleHeartbeat(const steering::Heartbeat& heartbeat)
@@ -209,6 +209,17 @@
                 { "warm-up-rate", policy.warmUpRate }, { "max-flows", policy.maxFlows } });
 }
 
+void FlowAgentDaemon::stateBehind(LogIndex heard)
+{
+    m_base.log->write(EventId::StateBehind,
+        { { "index", m_poller.stateIndex() }, { "heard", heard }, { "in-contact", int(m_poller.isInContact()) } });
+}
+
+void FlowAgentDaemon::stateCaughtUp()
+{
+    m_base.log->write(EventId::StateCaughtUp, { { "index", m_poller.stateIndex() } });
+}
+
 void FlowAgentDaemon::contactLost() { m_base.log->write(EventId::ControlContactLost, {}); }
 
 void FlowAgentDaemon::contactRenewed()
--- a/daemons/flow_agent_daemon.h
+++ b/daemons/flow_agent_daemon.h
@@ -28,6 +28,8 @@
     std::vector<steering::MemberRecord> ownRecords() override;
     void contactLost() override;
     void contactRenewed() override;
+    void stateBehind(LogIndex heard) override;
+    void stateCaughtUp() override;
     void onTick();
     void updateGauges();
     void handleTargetCall(const HttpRequest&, const HttpReplyCallback&);
--- a/daemons/flow_control_daemon.cc
+++ b/daemons/flow_control_daemon.cc
@@ -153,6 +153,7 @@
 {
     m_base.metrics.gauge("store.works").set(m_core != nullptr);
     m_base.metrics.gauge("store.writing").set(int64_t(m_pendingWrites.size()));
+    m_peers.updateGauges();
     m_base.metrics.gauge("control.open-calls").set(int64_t(m_calls.size()));
     if (!m_core)
         return;
--- a/daemons/flow_daemon.cc
+++ b/daemons/flow_daemon.cc
@@ -13,6 +13,8 @@
 
 namespace {
 
+    constexpr Duration messageReportInterval = std::chrono::seconds(1);
+
     uint64_t randomSeed()
     {
         std::random_device device;
@@ -128,11 +130,14 @@
 
 PeerPort::PeerPort(
     FlowDaemonBase& base, Endpoint listen, MessageHandler messageHandler, DatagramHandler datagramHandler)
-    : m_fragmenter(static_cast<uint32_t>(base.startId))
+    : m_base(base)
+    , m_fragmenter(static_cast<uint32_t>(base.startId))
     , m_assembler(base.clock)
     , m_onMessage(std::move(messageHandler))
     , m_onDatagram(std::move(datagramHandler))
     , m_bytesSent(base.metrics.counter("control.bytes-sent"))
+    , m_tooLarge(base.metrics.counter("control.messages-too-large"))
+    , m_lost(base.metrics.counter("control.messages-lost"))
     , m_port(base.context, listen, 2048,
           [this](Endpoint sender, uint8_t* data, size_t size) { onDatagram(sender, data, size); })
 {
@@ -140,7 +145,12 @@
 
 void PeerPort::send(Endpoint to, const cluster::Envelope& envelope)
 {
-    for (const std::string& datagram : m_fragmenter.split(encodeMessage(envelope))) {
+    absl::StatusOr<std::vector<std::string>> datagrams = m_fragmenter.split(encodeMessage(envelope));
+    if (!datagrams.ok()) {
+        reportTooLarge(to, envelope.kind, datagrams.status());
+        return;
+    }
+    for (const std::string& datagram : *datagrams) {
         m_bytesSent.add(datagram.size());
         m_port.send(to, reinterpret_cast<const uint8_t*>(datagram.data()), datagram.size());
     }
@@ -153,11 +163,48 @@
         return;
     }
     std::optional<std::string> message = m_assembler.add(sender, data, size);
+    reportLosses(sender);
     cluster::Envelope envelope;
     if (message && decodeMessage(*message, envelope))
         m_onMessage(sender, envelope);
 }
 
+void PeerPort::reportTooLarge(Endpoint to, cluster::MessageKind kind, const absl::Status& status)
+{
+    m_tooLarge.add();
+    if (m_base.clock.now() < m_nextTooLargeReport)
+        return;
+    m_nextTooLargeReport = m_base.clock.now() + messageReportInterval;
+    m_base.log->write(EventId::MessageTooLarge,
+        { { "to", formatEndpoint(to) }, { "kind", int(kind) }, { "reason", std::string(status.message()) } });
+}
+
+// `sender` is that of the datagram with which a loss was noticed.
+void PeerPort::reportLosses(Endpoint sender)
+{
+    const cluster::AssemblerFailures& failures = m_assembler.failures();
+    m_lost.add(failures.damaged + failures.incomplete - m_lost.value());
+    if (m_lost.value() == m_reportedLosses || m_base.clock.now() < m_nextLossReport)
+        return;
+    m_reportedLosses = m_lost.value();
+    m_nextLossReport = m_base.clock.now() + messageReportInterval;
+    m_base.log->write(EventId::MessagesLost,
+        { { "damaged", failures.damaged }, { "incomplete", failures.incomplete }, { "near", formatEndpoint(sender) } });
+}
+
+void PeerPort::updateGauges() { m_base.metrics.gauge("control.receive-drops").set(int64_t(m_port.receiveDrops())); }
+
+void updatePollerGauges(MetricRegistry& metrics, const cluster::Poller& poller)
+{
+    auto milliseconds
+        = [](Duration duration) { return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(); };
+    metrics.gauge("state.index").set(int64_t(poller.stateIndex()));
+    metrics.gauge("state.heard-index").set(int64_t(poller.heardIndex()));
+    metrics.gauge("state.behind-ms").set(milliseconds(poller.behindFor()));
+    metrics.gauge("control.in-contact").set(poller.isInContact());
+    metrics.gauge("control.last-reply-ms").set(milliseconds(poller.sinceLastReply()));
+}
+
 void refuseCall(
     EventLog& log, EventId event, const std::string& call, const absl::Status& status, const HttpReplyCallback& reply)
 {
--- a/daemons/flow_daemon.h
+++ b/daemons/flow_daemon.h
@@ -5,6 +5,7 @@
 
 #include "cluster/fragments.h"
 #include "cluster/messages.h"
+#include "cluster/poller.h"
 #include "core/clock.h"
 #include "core/random.h"
 #include "net/http_server.h"
@@ -88,18 +89,30 @@
     const absl::Status& status() const { return m_port.status(); }
     void send(Endpoint to, const cluster::Envelope&);
     void sendDatagram(Endpoint to, const uint8_t* data, size_t size) { m_port.send(to, data, size); }
+    void updateGauges();
 
 private:
     void onDatagram(Endpoint, uint8_t*, size_t);
+    void reportTooLarge(Endpoint to, cluster::MessageKind, const absl::Status&);
+    void reportLosses(Endpoint sender);
 
+    FlowDaemonBase& m_base;
     cluster::Fragmenter m_fragmenter;
     cluster::Assembler m_assembler;
     MessageHandler m_onMessage;
     DatagramHandler m_onDatagram;
     Counter& m_bytesSent;
+    Counter& m_tooLarge;
+    Counter& m_lost;
+    uint64_t m_reportedLosses = 0;
+    Time m_nextTooLargeReport;
+    Time m_nextLossReport;
     UdpPort m_port;
 };
 
+// Sets the gauges of what is in force in an entry or agent.
+void updatePollerGauges(MetricRegistry&, const cluster::Poller&);
+
 // Rejects a call that the adapter could not translate: replies 404 when there is no such call, else 400 with all
 // findings, and logs `event`.
 void refuseCall(EventLog&, EventId, const std::string& call, const absl::Status&, const HttpReplyCallback&);
--- a/daemons/flow_entry_daemon.cc
+++ b/daemons/flow_entry_daemon.cc
@@ -91,9 +91,10 @@
     m_base.metrics.gauge("entry.cached-flows").set(int64_t(m_steering.cachedFlows()));
     m_base.metrics.gauge("entry.early-packets").set(int64_t(m_steering.earlyPackets()));
     m_base.metrics.gauge("entry.members").set(int64_t(m_steering.members().size()));
-    m_base.metrics.gauge("state.index").set(int64_t(m_poller.stateIndex()));
     m_base.metrics.gauge("state.version").set(int64_t(m_steering.routes().version()));
-    m_base.metrics.gauge("control.in-contact").set(m_poller.isInContact());
+    m_base.metrics.gauge("entry.receive-drops").set(int64_t(m_fabric.receiveDrops()));
+    updatePollerGauges(m_base.metrics, m_poller);
+    m_peers.updateGauges();
 }
 
 void FlowEntryDaemon::handleReadinessCall(const HttpRequest& request, const HttpReplyCallback& reply)
@@ -148,6 +149,17 @@
     m_steering.members().markSuspect(agent, silentAgentSuspectDuration);
 }
 
+void FlowEntryDaemon::stateBehind(LogIndex heard)
+{
+    m_base.log->write(EventId::StateBehind,
+        { { "index", m_poller.stateIndex() }, { "heard", heard }, { "in-contact", int(m_poller.isInContact()) } });
+}
+
+void FlowEntryDaemon::stateCaughtUp()
+{
+    m_base.log->write(EventId::StateCaughtUp, { { "index", m_poller.stateIndex() } });
+}
+
 void FlowEntryDaemon::contactLost() { m_base.log->write(EventId::ControlContactLost, {}); }
 
 void FlowEntryDaemon::contactRenewed()
--- a/daemons/flow_entry_daemon.h
+++ b/daemons/flow_entry_daemon.h
@@ -30,6 +30,8 @@
     void membersConfirmed(Time asked) override { m_steering.onMembersConfirmed(asked); }
     void contactLost() override;
     void contactRenewed() override;
+    void stateBehind(LogIndex heard) override;
+    void stateCaughtUp() override;
     void onTick();
     void updateGauges();
     void handleReadinessCall(const HttpRequest&, const HttpReplyCallback&);
--- a/libs/cluster/cluster_measurement.cc
+++ b/libs/cluster/cluster_measurement.cc
@@ -97,7 +97,8 @@
 
     void Node::transmit(Endpoint to, const Envelope& envelope)
     {
-        std::vector<std::string> datagrams = m_fragmenter.split(encodeMessage(envelope));
+        absl::StatusOr<std::vector<std::string>> split = m_fragmenter.split(encodeMessage(envelope));
+        std::vector<std::string> datagrams = split.ok() ? std::move(*split) : std::vector<std::string>();
         for (const std::string& datagram : datagrams)
             usage.bytes += datagram.size();
         m_system.send(m_index, to, datagrams, envelope);
--- a/libs/cluster/cluster_test.cc
+++ b/libs/cluster/cluster_test.cc
@@ -64,7 +64,7 @@
         std::string message(size, '\0');
         for (char& byte : message)
             byte = static_cast<char>(random.next());
-        std::vector<std::string> datagrams = fragmenter.split(message);
+        std::vector<std::string> datagrams = fragmenter.split(message).value();
         std::optional<std::string> whole;
         while (!datagrams.empty()) {
             size_t pick = random.below(datagrams.size());
@@ -86,7 +86,7 @@
     Assembler assembler(clock);
     const std::string message(5000, 'x');
     for (int i = 0; i < 50000; ++i) {
-        std::vector<std::string> datagrams = fragmenter.split(message + std::to_string(random.next()));
+        std::vector<std::string> datagrams = fragmenter.split(message + std::to_string(random.next())).value();
         std::string& datagram = datagrams[random.below(datagrams.size())];
         datagram[random.below(datagram.size())] = static_cast<char>(random.next());
         datagram.resize(random.below(datagram.size() + 1));
@@ -97,6 +97,33 @@
     CHECK(decompress(compress(std::string(1000, 'a')), 1000) == std::string(1000, 'a'));
 }
 
+// Guards against messages that are dropped without a trace.
+TEST_CASE("a message that is too large or incomplete is counted", "[fragments]")
+{
+    ManualClock clock;
+    Fragmenter fragmenter(1);
+    Assembler assembler(clock);
+    CHECK(fragmenter.split(std::string(maxMessageBytes, 'x')).ok());
+    CHECK(absl::IsResourceExhausted(fragmenter.split(std::string(maxMessageBytes + 1, 'x')).status()));
+    auto add = [&](const std::string& datagram) {
+        return assembler.add(peerA, reinterpret_cast<const uint8_t*>(datagram.data()), datagram.size());
+    };
+    std::string damaged = fragmenter.split(std::string(1000, 'x')).value().at(0);
+    damaged.resize(damaged.size() - 5);
+    CHECK_FALSE(add(damaged));
+    CHECK(assembler.failures().damaged == 1);
+
+    Random random(1);
+    std::string message(5000, '\0');
+    for (char& byte : message)
+        byte = static_cast<char>(random.next());
+    add(fragmenter.split(message).value().at(0));
+    clock.advance(3s);
+    CHECK(assembler.failures().incomplete == 0);
+    add(fragmenter.split(message).value().at(0));
+    CHECK(assembler.failures().incomplete == 1);
+}
+
 TEST_CASE("state: the highest version wins, and other content under the same version is never applied", "[state]")
 {
     State state;
--- a/libs/cluster/fragments.cc
+++ b/libs/cluster/fragments.cc
@@ -57,13 +57,15 @@
     return out;
 }
 
-std::vector<std::string> Fragmenter::split(const std::string& message)
+absl::StatusOr<std::vector<std::string>> Fragmenter::split(const std::string& message)
 {
+    if (message.size() > maxMessageBytes)
+        return absl::ResourceExhaustedError("the message has " + std::to_string(message.size()) + " bytes");
     uint8_t flags = message.size() > compressionThreshold ? compressedFlag : 0;
     const std::string bytes = flags ? compress(message) : message;
     size_t count = std::max<size_t>(1, (bytes.size() + maxFragmentPayloadBytes - 1) / maxFragmentPayloadBytes);
     if (count > maxFragments)
-        return {};
+        return absl::ResourceExhaustedError("the message has " + std::to_string(count) + " fragments");
     uint32_t number = ++m_number;
     std::vector<std::string> datagrams;
     for (size_t index = 0; index < count; ++index) {
@@ -119,7 +121,11 @@
         m_bytes -= whole.size();
         m_partialMessages.erase(key);
     }
-    return compressed ? decompress(whole, maxMessageBytes) : std::optional<std::string>(std::move(whole));
+    if (!compressed)
+        return whole;
+    std::optional<std::string> message = decompress(whole, maxMessageBytes);
+    m_failures.damaged += message ? 0 : 1;
+    return message;
 }
 
 void Assembler::evictPartialMessages()
@@ -131,6 +137,7 @@
             ++i;
             continue;
         }
+        ++m_failures.incomplete;
         for (const std::string& part : i->second.parts)
             m_bytes -= part.size();
         i = m_partialMessages.erase(i);
--- a/libs/cluster/fragments.h
+++ b/libs/cluster/fragments.h
@@ -1,19 +1,24 @@
 // Splits messages larger than a datagram into numbered fragments and reassembles them. A lost fragment loses the whole
 // message; the protocols above retransmit.
 //
-//     for (const std::string& datagram : fragmenter.split(message))
+//     absl::StatusOr<std::vector<std::string>> datagrams = fragmenter.split(message);
+//     if (!datagrams.ok())
+//         return datagrams.status(); // the message is too large
+//     for (const std::string& datagram : *datagrams)
 //         socket.send(peer, datagram);
 //     ...
 //     if (std::optional<std::string> message = assembler.add(sender, data, size))
 //         handle(*message);
 //
 // Messages above compressionThreshold are compressed with zlib: configurations have many repeated names and addresses,
-// and a message of fewer fragments is less likely to be lost.
+// and a message of fewer fragments is less likely to be lost. Both ends refuse a message above maxMessageBytes; the
+// receiver counts it, and messages of which a fragment was lost, in failures().
 #pragma once
 
 #include "core/clock.h"
 #include "directory/directory.h"
 
+#include <absl/status/statusor.h>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -39,12 +44,19 @@
         : m_number(firstNumber)
     {
     }
-    std::vector<std::string> split(const std::string& message);
+    // ResourceExhausted for a message above maxMessageBytes, or of too many fragments.
+    absl::StatusOr<std::vector<std::string>> split(const std::string& message);
 
 private:
     uint32_t m_number;
 };
 
+// Messages that an Assembler could not return, since its construction.
+struct AssemblerFailures {
+    uint64_t damaged = 0; // cannot be decompressed to at most maxMessageBytes
+    uint64_t incomplete = 0; // dropped because a fragment didn't arrive in time, or for space
+};
+
 class Assembler {
 public:
     explicit Assembler(const Clock& clock)
@@ -54,6 +66,7 @@
     // Returns the message that this datagram completes, if any.
     std::optional<std::string> add(Endpoint sender, const uint8_t* data, size_t size);
     static bool isFragment(const uint8_t* data, size_t size);
+    const AssemblerFailures& failures() const { return m_failures; }
 
 private:
     struct PartialMessage {
@@ -66,6 +79,7 @@
     const Clock& m_clock;
     std::map<std::pair<Endpoint, uint32_t>, PartialMessage> m_partialMessages; // by sender and message number
     size_t m_bytes = 0;
+    AssemblerFailures m_failures;
 };
 
 } // namespace cicadaward::cluster
--- a/libs/cluster/poller.cc
+++ b/libs/cluster/poller.cc
@@ -12,6 +12,8 @@
     // Contact is lost without a reply for the longer of this time and this number of intervals.
     constexpr Duration contactTimeout = std::chrono::seconds(3);
     constexpr int contactTimeoutIntervals = 4;
+    // A newer state that no instance has named for this long is not one of this group.
+    constexpr Duration heardLifetime = std::chrono::seconds(5);
     constexpr uint64_t turnsPerFullCycle = 8; // every 8th poll also considers instances without a state
 
 } // namespace
@@ -117,6 +119,7 @@
         m_withoutState.clear();
         m_output.contactLost();
     }
+    reportBehind();
     if (m_controls.empty() || now < m_nextPoll)
         return;
     poll(nextControl(), 0);
@@ -161,6 +164,7 @@
     if (reply.leader.port != 0)
         m_output.onLeader(reply.leader, reply.term);
     updateControls(reply.stateIndex, reply.controls);
+    hear(reply.stateIndex);
     applyState(reply);
     if (!m_options.wantsMembers)
         return;
@@ -192,18 +196,46 @@
     if (state.index <= m_state.index)
         return;
     m_state = std::move(state);
+    m_lastProgress = m_clock.now();
     m_output.onState(m_state);
 }
 
 // Sends only one poll for each index, because two instances notify each poller.
 void Poller::onNotice(Endpoint sender, const StateNotice& notice)
 {
+    hear(notice.stateIndex);
     if (notice.stateIndex <= std::max(m_state.index, m_noticedIndex))
         return;
     m_noticedIndex = notice.stateIndex;
     poll(sender, 0);
 }
 
+void Poller::hear(LogIndex index)
+{
+    if (index < m_heardIndex)
+        return;
+    if (!isBehind())
+        m_lastProgress = m_clock.now();
+    m_heardIndex = index;
+    m_lastHeard = m_clock.now();
+}
+
+Duration Poller::behindFor() const { return isBehind() ? m_clock.now() - m_lastProgress : Duration::zero(); }
+
+void Poller::reportBehind()
+{
+    if (isBehind() && m_clock.now() - m_lastHeard > heardLifetime)
+        m_heardIndex = m_state.index;
+    bool isLate = behindFor() > behindReportDelay;
+    if (isLate == m_reportedBehind)
+        return;
+    m_reportedBehind = isLate;
+    if (isLate)
+        m_output.stateBehind(m_heardIndex);
+    else
+        m_output.stateCaughtUp();
+}
+
 // The seeds stay in the list: they let the process reconnect after all other instances have been replaced.
 void Poller::updateControls(LogIndex index, const std::vector<Endpoint>& controls)
 {
--- a/libs/cluster/poller.h
+++ b/libs/cluster/poller.h
@@ -13,6 +13,7 @@
 #include "core/clock.h"
 #include "core/random.h"
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <map>
@@ -35,6 +36,7 @@
 };
 
 constexpr size_t maxControls = 32;
+constexpr Duration behindReportDelay = std::chrono::seconds(2);
 
 class PollerOutput {
 public:
@@ -42,6 +44,10 @@
     virtual void sendMessage(Endpoint control, const Envelope&) = 0;
     virtual void contactLost() = 0;
     virtual void contactRenewed() = 0;
+    // The state has been older than the newest one that the process has heard of for behindReportDelay, without
+    // progress; and the end of that.
+    virtual void stateBehind(LogIndex /* heard */) { }
+    virtual void stateCaughtUp() { }
 
     // Called for the contents of a reply; a process overrides what it needs.
     virtual void onState(const ForwardingState&) { }
@@ -77,6 +83,11 @@
     void updateControls(const std::vector<Endpoint>& controls) { updateControls(0, controls); }
 
     LogIndex stateIndex() const { return m_state.index; }
+    // The newest state index that a notice or a reply has named.
+    LogIndex heardIndex() const { return std::max(m_heardIndex, m_state.index); }
+    // How long the state has been older than that without progress; zero without a state.
+    Duration behindFor() const;
+    Duration sinceLastReply() const { return m_clock.now() - m_lastReply; }
     bool isInContact() const { return m_inContact; }
     const std::vector<Endpoint>& controls() const { return m_controls; }
 
@@ -89,6 +100,9 @@
     void applyState(const PollReply&);
     void onConfirmation(const PollReply&);
     void onNotice(Endpoint sender, const StateNotice&);
+    bool isBehind() const { return m_state.index != 0 && m_heardIndex > m_state.index; }
+    void hear(LogIndex);
+    void reportBehind();
     void updateControls(LogIndex index, const std::vector<Endpoint>& controls);
 
     const PollerOptions m_options;
@@ -110,6 +124,10 @@
     bool m_inContact = false;
     ForwardingState m_state;
     LogIndex m_noticedIndex = 0; // newest state index in a notice
+    LogIndex m_heardIndex = 0; // newest state index in a notice or reply
+    Time m_lastHeard; // of m_heardIndex
+    Time m_lastProgress; // the last time when the state was not behind, or became newer
+    bool m_reportedBehind = false;
     uint64_t m_lastConfirmationNumber = 0; // number of the last requested confirmation
     std::array<Time, 16>
         m_confirmationTimes {}; // request times by number modulo the size; replies may be several intervals late
--- a/libs/cluster/poller_test.cc
+++ b/libs/cluster/poller_test.cc
@@ -161,6 +161,8 @@
     void onLeader(Endpoint operators, uint64_t) override { leader = operators; }
     void contactLost() override { ++lost; }
     void contactRenewed() override { ++renewed; }
+    void stateBehind(LogIndex heard) override { behind.push_back(heard); }
+    void stateCaughtUp() override { ++caughtUp; }
 
     std::vector<Endpoint> polled;
     std::vector<LogIndex> states;
@@ -168,6 +170,8 @@
     size_t members = 0;
     size_t lost = 0;
     size_t renewed = 0;
+    std::vector<LogIndex> behind;
+    size_t caughtUp = 0;
 };
 
 PollReply stateReply(LogIndex index)
@@ -234,3 +238,37 @@
     poller.onReply(peerA, stateReply(1));
     CHECK(pollsInOneSecond() <= 3); // both every 800 ms
 }
+
+// Guards against a process that goes on by an old configuration without a trace in its log.
+TEST_CASE("poller: a state that stays older than one heard of is reported once, and so is its end", "[poller]")
+{
+    ManualClock clock;
+    Random random(1);
+    FakePollerOutput output;
+    PollerOptions options;
+    options.seeds = { peerA };
+    Poller poller(options, clock, random, output);
+    auto run = [&](Duration length) {
+        for (Time end = clock.now() + length; clock.now() < end; clock.advance(10ms))
+            poller.onTick();
+    };
+    PollReply answer;
+    answer.stateIndex = 3; // of an instance without a configuration
+    poller.onReply(peerA, answer);
+    run(3s);
+    CHECK(output.behind.empty());
+    poller.onReply(peerA, stateReply(4));
+    answer.stateIndex = 5;
+    poller.onReply(peerA, answer);
+    run(behindReportDelay);
+    CHECK(output.behind.empty());
+    run(20ms);
+    CHECK(output.behind == std::vector<LogIndex> { 5 });
+    CHECK(poller.behindFor() >= behindReportDelay);
+    poller.onReply(peerA, answer);
+    SECTION("it arrives") { poller.onReply(peerA, stateReply(5)); }
+    SECTION("no instance names it any more") { run(6s); }
+    poller.onTick();
+    CHECK(output.caughtUp == 1);
+    CHECK(poller.behindFor() == Duration::zero());
+}
--- a/libs/net/net_test.cc
+++ b/libs/net/net_test.cc
@@ -131,6 +131,23 @@
     CHECK(received == 3);
 }
 
+// Guards against losses that no process shows: a receiver that was busy for a while lost whole messages.
+TEST_CASE("a UDP port counts the datagrams that its full receive buffer dropped", "[net]")
+{
+    boost::asio::io_context context;
+    uint64_t received = 0;
+    UdpPort receiver(context, { 0x7f000001, 0 }, 1400, [&](Endpoint, uint8_t*, size_t) { ++received; });
+    UdpPort sender(context, { 0x7f000001, 0 }, 100, [](Endpoint, uint8_t*, size_t) {});
+    CHECK(receiver.receiveDrops() == 0);
+    constexpr uint64_t sent = 20000; // more than the largest buffer takes
+    const std::vector<uint8_t> data(1300);
+    for (uint64_t i = 0; i < sent; ++i)
+        sender.send(receiver.localEndpoint(), data.data(), data.size());
+    while (context.poll() > 0) { }
+    CHECK(received + receiver.receiveDrops() + sender.sendFailures() == sent);
+    CHECK(receiver.receiveDrops() > 0);
+}
+
 TEST_CASE("HTTP calls reach the handler whole, and a body beyond the limit is refused", "[net]")
 {
     boost::asio::io_context context;
--- a/libs/net/udp_port.cc
+++ b/libs/net/udp_port.cc
@@ -3,6 +3,9 @@
 
 #include "net/udp_port.h"
 
+#include <linux/sock_diag.h>
+#include <sys/socket.h>
+
 namespace cicadaward {
 
 namespace detail {
@@ -82,6 +85,15 @@
     return false;
 }
 
+uint64_t UdpPort::receiveDrops()
+{
+    uint32_t values[SK_MEMINFO_VARS] = {};
+    socklen_t size = sizeof(values);
+    if (getsockopt(m_socket.native_handle(), SOL_SOCKET, SO_MEMINFO, values, &size) != 0)
+        return 0;
+    return values[SK_MEMINFO_DROPS];
+}
+
 void UdpPort::close()
 {
     boost::system::error_code error;
--- a/libs/net/udp_port.h
+++ b/libs/net/udp_port.h
@@ -34,6 +34,8 @@
     void close();
 
     uint64_t receivedDatagrams() const { return m_receivedDatagrams.load(std::memory_order_relaxed); }
+    // Datagrams that the kernel dropped because the receive buffer was full. Costs a system call.
+    uint64_t receiveDrops();
     uint64_t sendFailures() const { return m_sendFailures.load(std::memory_order_relaxed); }
 
 private:
--- a/libs/observe/events.cc
+++ b/libs/observe/events.cc
@@ -56,6 +56,10 @@
             "a newer replicated state is in force in this process" },
         { EventId::ReadinessChanged, EventLevel::Info, "readiness-changed",
             "the process starts or stops telling the fabric that it can forward" },
+        { EventId::StateBehind, EventLevel::Warning, "state-behind",
+            "a newer replicated state was heard of a while ago and is not in force in this process" },
+        { EventId::StateCaughtUp, EventLevel::Info, "state-caught-up",
+            "the newest replicated state that was heard of is in force again" },
 
         { EventId::TargetUp, EventLevel::Info, "target-up", "the target answers" },
         { EventId::TargetDown, EventLevel::Warning, "target-down", "the target does not answer" },
@@ -100,6 +104,11 @@
         { EventId::PeerClosed, EventLevel::Warning, "peer-closed",
             "a stream was closed because of what the peer sent" },
         { EventId::StreamRefused, EventLevel::Warning, "stream-refused", "a request on a stream exceeded a bound" },
+        { EventId::MessageTooLarge, EventLevel::Error, "message-too-large",
+            "a control message exceeds the largest size and was not sent" },
+        { EventId::MessagesLost, EventLevel::Warning, "messages-lost",
+            "control messages arrived damaged, too large or in part; at most one line a second, with the counts so "
+            "far" },
 
         { EventId::ManifestAccepted, EventLevel::Info, "manifest-accepted", "a manifest is in the replicated log" },
         { EventId::ManifestRefused, EventLevel::Warning, "manifest-refused", "a manifest is invalid or too old" },
--- a/libs/observe/events.h
+++ b/libs/observe/events.h
@@ -36,6 +36,8 @@
     DataCentreBack = 208,
     StateTaken = 209,
     ReadinessChanged = 210,
+    StateBehind = 211,
+    StateCaughtUp = 212,
 
     TargetUp = 300,
     TargetDown = 301,
@@ -64,6 +66,8 @@
     MessageDamaged = 403,
     PeerClosed = 404,
     StreamRefused = 405,
+    MessageTooLarge = 406,
+    MessagesLost = 407,
 
     ManifestAccepted = 500,
     ManifestRefused = 501,
