Bound the answer to a poll and send large states in parts

Callers saw: an entry that was frozen during quick changes of a large configuration handled everything by the old configuration for good, ready and in rotation.

Cause: ControlCore::answerPoll() answered a process that was up to 256 changes behind with all differences, whatever their size, never with the smaller whole state. Above maxMessageBytes the message was dropped, and the next poll asked for the same again.

Fix: StateSource answers with the next differences while all of them are smaller than the whole state, at most 64 KiB at a time, else with the whole state; a state above 64 KiB goes compressed in parts of 16 KiB, at most 14 datagrams, each asked for. The process asks on at once after each step of progress. A transfer survives newer states for 2 s. DeltaHistory is bounded by the bytes of the whole state instead of a number of changes. A process of an earlier version gets what it got.

state_delta_test: the bound of the history was 8 changes and is now 300 bytes, checked exactly as before (kept if and only if within the bound), and the prefix for a limit of one reply is new.

Not changed: a configuration of 3,000 routes is about 100 datagrams.

--- a/libs/cluster/codec.h
+++ b/libs/cluster/codec.h
@@ -44,12 +44,13 @@
             v.routes, v.removedRoutes, v.services, v.removedServices, v.evacuatedDataCentres)
         CICADAWARD_CODEC(cicadaward::cluster::StateNotice, 1, v.stateIndex)
         CICADAWARD_CODEC(cicadaward::cluster::Envelope, 2, v.kind, v.body)
-        CICADAWARD_EXTENDED_CODEC(cicadaward::cluster::Poll, 4, 7, v.stateIndex, v.table, v.wantsMembers, v.records,
-            v.confirmationNumber, v.period, v.digest)
+        CICADAWARD_CODEC(cicadaward::cluster::StatePart, 4, v.index, v.offset, v.size, v.bytes)
+        CICADAWARD_EXTENDED_CODEC(cicadaward::cluster::Poll, 4, 10, v.stateIndex, v.table, v.wantsMembers, v.records,
+            v.confirmationNumber, v.period, v.digest, v.continues, v.partIndex, v.partOffset)
         CICADAWARD_CODEC(cicadaward::cluster::TableVersion, 2, v.owner, v.number)
-        CICADAWARD_EXTENDED_CODEC(cicadaward::cluster::PollReply, 9, 15, v.stateIndex, v.state, v.table, v.members,
+        CICADAWARD_EXTENDED_CODEC(cicadaward::cluster::PollReply, 9, 16, v.stateIndex, v.state, v.table, v.members,
             v.silent, v.controls, v.leader, v.term, v.newestIncarnation, v.registeredIncarnation, v.registeredStart,
-            v.confirmationNumber, v.pollers, v.deltas, v.wantsDigest)
+            v.confirmationNumber, v.pollers, v.deltas, v.wantsDigest, v.part)
         CICADAWARD_CODEC(cicadaward::cluster::Hello, 3, v.instance, v.address, v.forwarded)
 
     } // namespace adaptor
--- a/libs/cluster/control_core.cc
+++ b/libs/cluster/control_core.cc
@@ -37,6 +37,7 @@
     , m_nextHello(clock.now())
     , m_nextSeedHello(clock.now())
     , m_nextMembershipCheck(clock.now())
+    , m_stateSource(clock)
 {
     loadPeerAddresses(contents);
 }
--- a/libs/cluster/control_core.h
+++ b/libs/cluster/control_core.h
@@ -18,7 +18,7 @@
 #include "cluster/member_table.h"
 #include "cluster/messages.h"
 #include "cluster/state.h"
-#include "cluster/state_delta.h"
+#include "cluster/state_transfer.h"
 #include "core/random.h"
 #include "raft/raft.h"
 
@@ -51,9 +51,6 @@
 // the beginning because the configured seeds may be replaced before an instance has registered.
 StoreBatch groupBootstrapBatch(const std::map<InstanceId, InstanceAddress>& initialVoters);
 
-// A process that is at most this many changes behind receives deltas instead of the whole state.
-constexpr size_t maxDeltas = 256;
-
 using RequestNumber = uint64_t;
 
 namespace detail {
@@ -207,9 +204,8 @@
     Time m_nextHello;
     Time m_nextSeedHello;
     Time m_nextMembershipCheck;
-    std::string m_encodedForwardingState; // encoded ForwardingState of m_forwardingIndex
-    LogIndex m_forwardingIndex = 0;
-    DeltaHistory m_history { maxDeltas };
+    LogIndex m_forwardingIndex = 0; // of the state in m_stateSource
+    StateSource m_stateSource;
     LogIndex m_notifiedIndex = 0; // index of the last state that pollers were notified of
 };
 
--- a/libs/cluster/control_core_test.cc
+++ b/libs/cluster/control_core_test.cc
@@ -4,9 +4,11 @@
 
 #include "cluster/codec.h"
 #include "cluster/fragments.h"
+#include "cluster/poller.h"
 
 #include <catch2/catch.hpp>
 #include <deque>
+#include <functional>
 #include <memory>
 
 using namespace cicadaward;
@@ -98,10 +100,15 @@
             if (receiver < instanceCount)
                 net->messages.emplace_back(addressOf(index).peer, receiver, envelope);
             else if (envelope.kind == MessageKind::StateNotice)
-                notified.push_back(to);
+                notify(to, envelope);
             else if (envelope.kind == MessageKind::PollReply)
                 replies.emplace_back(to, envelope);
         }
+        void notify(Endpoint to, const Envelope& envelope)
+        {
+            notified.push_back(to);
+            notices.emplace_back(to, envelope);
+        }
         void persist(uint64_t batchNumber, const StoreBatch&) override { batches.push_back(batchNumber); }
         void answer(RequestNumber request, const Answer& given) override { answers[request] = given; }
         void onEvent(ControlEvent, const std::string&, LogIndex) override { }
@@ -114,6 +121,7 @@
         bool isDiskBlocked = false;
         std::map<RequestNumber, Answer> answers;
         std::vector<Endpoint> notified; // recipients of state notices
+        std::vector<std::pair<Endpoint, Envelope>> notices; // by recipient
         std::vector<std::pair<Endpoint, Envelope>> replies; // to polls, by recipient
     };
 
@@ -331,3 +339,154 @@
     for (auto& node : group.nodes)
         CHECK(node.notified.empty());
 }
+
+namespace {
+
+// A process that polls the group. Its messages travel as datagrams, of which the test loses some.
+class PollingProcess final : private PollerOutput {
+public:
+    explicit PollingProcess(ThreeInstanceGroup& group)
+        : m_group(group)
+        , m_assembler(group.clock)
+        , m_poller(options(), group.clock, group.random, *this)
+    {
+        m_poller.pollAll();
+    }
+
+    void run(Duration length)
+    {
+        for (Time end = m_group.clock.now() + length; m_group.clock.now() < end;) {
+            m_group.run(10ms);
+            exchange();
+            m_poller.onTick();
+            exchange();
+        }
+    }
+    LogIndex stateIndex() const { return m_poller.stateIndex(); }
+
+    // Whether the datagram is lost: its number since the start, and its index in its message.
+    std::function<bool(size_t number, size_t index)> loses = [](size_t, size_t) { return false; };
+    size_t datagrams = 0;
+    size_t mostDatagrams = 0; // of one message
+    steering::Configuration configuration; // in force in the process
+
+private:
+    static PollerOptions options()
+    {
+        PollerOptions options;
+        for (size_t i = 0; i < instanceCount; ++i)
+            options.seeds.push_back(ThreeInstanceGroup::addressOf(i).peer);
+        return options;
+    }
+    void sendMessage(Endpoint control, const Envelope& envelope) override { m_sent.emplace_back(control, envelope); }
+    void contactLost() override { }
+    void contactRenewed() override { }
+    void onState(const ForwardingState& state) override { configuration = state.configuration; }
+
+    void exchange()
+    {
+        for (bool active = true; active;) {
+            active = !m_sent.empty();
+            std::vector<std::pair<Endpoint, Envelope>> sent = std::move(m_sent);
+            m_sent.clear();
+            for (const auto& [to, envelope] : sent) {
+                if (arrives(envelope, to))
+                    m_group.nodes[to.address - 0x0A000001].core->onMessage(m_self, envelope);
+            }
+            for (auto& node : m_group.nodes) {
+                for (auto* queue : { &node.notices, &node.replies }) {
+                    active = active || !queue->empty();
+                    std::vector<std::pair<Endpoint, Envelope>> received = std::move(*queue);
+                    queue->clear();
+                    for (const auto& [to, envelope] : received) {
+                        if (to == m_self && arrives(envelope, ThreeInstanceGroup::addressOf(node.index).peer))
+                            m_poller.onMessage(ThreeInstanceGroup::addressOf(node.index).peer, envelope);
+                    }
+                }
+            }
+        }
+    }
+    bool arrives(const Envelope& envelope, Endpoint other)
+    {
+        absl::StatusOr<std::vector<std::string>> split = m_fragmenter.split(encodeMessage(envelope));
+        if (!split.ok())
+            return false;
+        mostDatagrams = std::max(mostDatagrams, split->size());
+        bool whole = false;
+        for (size_t index = 0; index < split->size(); ++index) {
+            const std::string& datagram = (*split)[index];
+            if (!loses(datagrams++, index))
+                whole
+                    = bool(m_assembler.add(other, reinterpret_cast<const uint8_t*>(datagram.data()), datagram.size()));
+        }
+        return whole;
+    }
+
+    const Endpoint m_self { 0x0A030001, 7721 };
+    ThreeInstanceGroup& m_group;
+    Fragmenter m_fragmenter { 1 };
+    Assembler m_assembler;
+    std::vector<std::pair<Endpoint, Envelope>> m_sent;
+    Poller m_poller;
+};
+
+// Routes with names as on the platform; each version gives all of them another timeout.
+steering::Configuration largeConfiguration(uint64_t number, uint32_t routes)
+{
+    Random random(7);
+    steering::Configuration configuration = version(number);
+    for (uint32_t i = 0; i < routes; ++i) {
+        steering::Route route;
+        route.name = "r-" + std::to_string(random.next() % 10000000);
+        route.address = { 0xC6120001 + i, 8443 };
+        route.services = { { steering::serviceKey("hub"), 1 } };
+        route.timeout = std::chrono::milliseconds(2000 + number);
+        configuration.routes.push_back(route);
+    }
+    return configuration;
+}
+
+constexpr Duration applyLimit = 3s;
+
+} // namespace
+
+// Guards against a process that never catches up: the differences that it had missed were larger than the largest
+// message, and it asked for the same ones again at each poll.
+TEST_CASE("control: a process that missed many large changes arrives at the newest state", "[core]")
+{
+    constexpr uint64_t changes = 120;
+    constexpr uint32_t routes = 1500;
+    ThreeInstanceGroup group;
+    auto& leader = group.nodes[group.leader()];
+    leader.core->putConfiguration(1, largeConfiguration(1, routes), "text");
+    PollingProcess process(group);
+    process.run(1s);
+    REQUIRE(process.stateIndex() == leader.core->state().index());
+    for (uint64_t number = 2; number <= changes; ++number) {
+        leader.core->putConfiguration(number, largeConfiguration(number, routes), "text");
+        group.run(30ms);
+    }
+    process.run(applyLimit);
+    CHECK(process.stateIndex() == leader.core->state().index());
+    CHECK(process.configuration.version == changes);
+    CHECK(process.configuration.routes.size() == routes);
+}
+
+// Guards against a state that can't arrive: a receiver that is busy keeps the first datagrams of a burst and the kernel
+// drops the rest, as often as the burst is sent again.
+TEST_CASE("control: a state of any size arrives where a receive buffer keeps few datagrams", "[core]")
+{
+    constexpr size_t keptDatagrams = 60;
+    constexpr uint32_t routes = 9000;
+    ThreeInstanceGroup group;
+    auto& leader = group.nodes[group.leader()];
+    leader.core->putConfiguration(1, largeConfiguration(1, routes), "text");
+    group.run(200ms);
+    PollingProcess process(group);
+    process.loses = [&](size_t, size_t index) { return index >= keptDatagrams; };
+    process.run(applyLimit);
+    CHECK(process.configuration.routes.size() == routes);
+    leader.core->putConfiguration(2, largeConfiguration(2, routes), "text");
+    process.run(applyLimit);
+    CHECK(process.configuration.version == 2);
+}
--- a/libs/cluster/control_polls.cc
+++ b/libs/cluster/control_polls.cc
@@ -62,15 +62,12 @@
     return false;
 }
 
-// Updates the encoded state and the delta history.
 void ControlCore::refreshForwardingState()
 {
     if (m_forwardingIndex == m_state.index())
         return;
     m_forwardingIndex = m_state.index();
-    ForwardingState state = m_state.forwardingState();
-    m_history.add(state);
-    m_encodedForwardingState = encodeMessage(state);
+    m_stateSource.update(m_state.forwardingState());
 }
 
 // Notifies pollers of a new state, so that their poll intervals can be long. The first state after a start is notified
@@ -133,9 +130,7 @@
     reply.stateIndex = m_state.index();
     if (poll.stateIndex < m_state.index() && m_state.routes().version() != 0) {
         refreshForwardingState();
-        reply.deltas = m_history.since(poll.stateIndex);
-        if (reply.deltas.empty())
-            reply.state = m_encodedForwardingState;
+        m_stateSource.fillReply(poll, reply);
     }
     bool complete = poll.wantsMembers && m_members.fillReply(poll.table, poll.digest, reply);
     if (confirmed && complete)
--- a/libs/cluster/messages.h
+++ b/libs/cluster/messages.h
@@ -35,11 +35,23 @@
         = 0; // not 0: the leader answers only once it has confirmed that it leads, with this number
     steering::MemberDigest digest; // of the members that it has, when it has no version of this instance's table
     std::chrono::milliseconds period { 0 }; // the next poll to the same instance comes within about this time
+    bool continues = false; // after a reply that has only a part of what leads to the newest state; false in an
+    // earlier version
+    LogIndex partIndex = 0; // of the state that it receives in parts from this instance; 0: none
+    uint64_t partOffset = 0; // of the next part
+};
+
+// A part of a compressed ForwardingState.
+struct StatePart {
+    LogIndex index = 0; // 0: no part
+    uint64_t offset = 0;
+    uint64_t size = 0; // of the compressed state
+    std::string bytes;
 };
 
 struct PollReply {
     LogIndex stateIndex = 0; // of the replying instance
-    std::string state; // an encoded ForwardingState, when the poller's is older and there are no deltas from it
+    std::string state; // an encoded ForwardingState, when the poller's is older and there are no small deltas from it
     TableVersion table;
     std::vector<steering::MemberRecord> members; // changed since the poller's version; at most maxReplyMembers
     std::vector<Endpoint> silent; // agents that have not announced themselves within their silence timeout
@@ -52,10 +64,11 @@
     uint64_t registeredStart = 0;
     uint32_t pollers = 0; // processes that poll the sender
     bool wantsDigest = false; // the poller's table version has another owner; its next poll should have a digest
-    std::vector<ForwardingDelta> deltas; // from the poller's state to the sender's, in order
+    std::vector<ForwardingDelta> deltas; // the first ones from the poller's state to the sender's, in order
     // Confirmation number of the poll, when this reply together with earlier ones holds all registered members and the
     // newest state; otherwise 0.
     uint64_t confirmationNumber = 0;
+    StatePart part; // instead of a state that is too large for one reply
 };
 
 // Sent to pollers: the sender has a state of this index. A poller with an older state polls it.
--- a/libs/cluster/poller.cc
+++ b/libs/cluster/poller.cc
@@ -27,6 +27,7 @@
     , m_waitInterval(m_options.initialWaitInterval)
     , m_nextPoll(clock.now())
     , m_lastReply(clock.now())
+    , m_download(clock)
 {
     sortControls();
     if (!m_controls.empty())
@@ -57,6 +58,11 @@
         poll.digest = m_output.memberDigest();
     poll.records = m_output.ownRecords();
     poll.confirmationNumber = confirmation;
+    poll.continues = true;
+    if (control == m_download.source()) {
+        poll.partIndex = m_download.index();
+        poll.partOffset = m_download.receivedBytes();
+    }
     poll.period = std::chrono::duration_cast<std::chrono::milliseconds>(interval() * turnsPerFullCycle);
     m_output.sendMessage(control, { MessageKind::Poll, encodeMessage(poll) });
 }
@@ -122,7 +128,7 @@
     reportBehind();
     if (m_controls.empty() || now < m_nextPoll)
         return;
-    poll(nextControl(), 0);
+    poll(nextSource(), 0);
     if (m_state.index != 0 && !m_output.isWaitingForReply()) {
         m_waitInterval = m_options.initialWaitInterval;
         m_nextPoll = now + interval();
@@ -132,6 +138,8 @@
     m_waitInterval = std::min(2 * m_waitInterval, m_options.maxWaitInterval);
 }
 
+Endpoint Poller::nextSource() { return m_download.isActive() ? m_download.source() : nextControl(); }
+
 bool Poller::onMessage(Endpoint sender, const Envelope& envelope)
 {
     PollReply reply;
@@ -165,9 +173,15 @@
         m_output.onLeader(reply.leader, reply.term);
     updateControls(reply.stateIndex, reply.controls);
     hear(reply.stateIndex);
-    applyState(reply);
-    if (!m_options.wantsMembers)
-        return;
+    bool progressed = applyState(sender, reply);
+    if (m_options.wantsMembers)
+        applyMembers(sender, reply);
+    if ((progressed && reply.stateIndex > m_state.index) || reply.wantsDigest)
+        poll(sender, 0);
+}
+
+void Poller::applyMembers(Endpoint sender, const PollReply& reply)
+{
     if (reply.table.owner != 0)
         m_tables[sender] = reply.table;
     else
@@ -177,27 +191,42 @@
     for (Endpoint agent : reply.silent)
         m_output.onSilentMember(agent);
     onConfirmation(reply);
-    if (reply.wantsDigest)
-        poll(sender, 0);
 }
 
-void Poller::applyState(const PollReply& reply)
+bool Poller::applyState(Endpoint sender, const PollReply& reply)
 {
-    ForwardingState state;
-    if (!reply.deltas.empty()) {
-        state = m_state;
-        for (const ForwardingDelta& delta : reply.deltas) {
-            if (!applyDelta(delta, state))
-                return; // the reply answers an earlier poll
-        }
-    } else if (reply.state.empty() || !decodeMessage(reply.state, state)) {
-        return;
+    std::optional<ForwardingState> state = stateFrom(reply);
+    if (!state && reply.part.index > m_state.index) {
+        if (!m_download.add(sender, reply.part))
+            return false;
+        if (!m_download.isComplete())
+            return true;
+        state = m_download.take();
     }
-    if (state.index <= m_state.index)
-        return;
-    m_state = std::move(state);
+    if (!state || state->index <= m_state.index)
+        return false;
+    m_state = std::move(*state);
     m_lastProgress = m_clock.now();
+    if (m_download.index() <= m_state.index)
+        m_download.abandon();
     m_output.onState(m_state);
+    return true;
+}
+
+// Returns nothing when the reply has no state, or deltas for another one because it answers an earlier poll.
+std::optional<ForwardingState> Poller::stateFrom(const PollReply& reply) const
+{
+    ForwardingState state;
+    if (reply.deltas.empty()) {
+        bool isState = !reply.state.empty() && decodeMessage(reply.state, state);
+        return isState ? std::optional<ForwardingState>(std::move(state)) : std::nullopt;
+    }
+    state = m_state;
+    for (const ForwardingDelta& delta : reply.deltas) {
+        if (!applyDelta(delta, state))
+            return std::nullopt;
+    }
+    return state;
 }
 
 // Sends only one poll for each index, because two instances notify each poller.
--- a/libs/cluster/poller.h
+++ b/libs/cluster/poller.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "cluster/messages.h"
+#include "cluster/state_transfer.h"
 #include "core/clock.h"
 #include "core/random.h"
 
@@ -97,7 +98,11 @@
     void sortControls();
     bool comesBefore(Endpoint, Endpoint) const;
     Duration interval() const;
-    void applyState(const PollReply&);
+    // Returns whether the reply brought this process nearer to the newest state.
+    bool applyState(Endpoint sender, const PollReply&);
+    std::optional<ForwardingState> stateFrom(const PollReply&) const;
+    void applyMembers(Endpoint sender, const PollReply&);
+    Endpoint nextSource();
     void onConfirmation(const PollReply&);
     void onNotice(Endpoint sender, const StateNotice&);
     bool isBehind() const { return m_state.index != 0 && m_heardIndex > m_state.index; }
@@ -123,6 +128,7 @@
     Time m_lastReply;
     bool m_inContact = false;
     ForwardingState m_state;
+    StateDownload m_download; // of a state that is too large for one reply
     LogIndex m_noticedIndex = 0; // newest state index in a notice
     LogIndex m_heardIndex = 0; // newest state index in a notice or reply
     Time m_lastHeard; // of m_heardIndex
--- a/libs/cluster/state_delta.cc
+++ b/libs/cluster/state_delta.cc
@@ -1,5 +1,7 @@
 #include "cluster/state_delta.h"
 
+#include "cluster/codec.h"
+
 #include <absl/container/flat_hash_map.h>
 #include <algorithm>
 
@@ -88,18 +90,33 @@
 
 void DeltaHistory::add(const ForwardingState& state)
 {
-    if (m_newest.index != 0)
-        m_deltas.push_back(deltaBetween(m_newest, state));
-    if (m_deltas.size() > m_limit)
-        m_deltas.erase(m_deltas.begin());
+    if (m_newest.index != 0) {
+        ForwardingDelta delta = deltaBetween(m_newest, state);
+        size_t bytes = encodeMessage(delta).size();
+        m_items.push_back({ std::move(delta), bytes });
+        m_bytes += bytes;
+    }
     m_newest = state;
 }
 
-std::vector<ForwardingDelta> DeltaHistory::since(LogIndex index) const
+void DeltaHistory::trim(size_t maxBytes)
 {
-    auto first = std::find_if(
-        m_deltas.begin(), m_deltas.end(), [&](const ForwardingDelta& delta) { return delta.baseIndex == index; });
-    return { first, m_deltas.end() };
+    while (m_bytes > maxBytes) {
+        m_bytes -= m_items.front().bytes;
+        m_items.pop_front();
+    }
+}
+
+std::vector<ForwardingDelta> DeltaHistory::since(LogIndex index, size_t maxBytes) const
+{
+    auto item = std::find_if(
+        m_items.begin(), m_items.end(), [index](const Item& other) { return other.delta.baseIndex == index; });
+    std::vector<ForwardingDelta> deltas;
+    for (size_t bytes = 0; item != m_items.end() && bytes + item->bytes <= maxBytes; ++item) {
+        bytes += item->bytes;
+        deltas.push_back(item->delta);
+    }
+    return deltas;
 }
 
 } // namespace cicadaward::cluster
--- a/libs/cluster/state_delta.h
+++ b/libs/cluster/state_delta.h
@@ -11,6 +11,7 @@
 
 #include "cluster/state.h"
 
+#include <deque>
 #include <set>
 #include <string>
 #include <vector>
@@ -33,24 +34,25 @@
 // Returns false and leaves the state unchanged when its index is not delta.baseIndex.
 bool applyDelta(const ForwardingDelta&, ForwardingState&);
 
-// The newest deltas, at most `limit`, for processes that are a few changes behind.
+// The newest deltas, for processes that are a few changes behind.
 class DeltaHistory {
 public:
-    explicit DeltaHistory(size_t limit)
-        : m_limit(limit)
-    {
-    }
-
     // Appends the delta from the previous state. Call it with each state in order.
     void add(const ForwardingState&);
-    // Returns the deltas from the state of this index to the newest one; empty when the history doesn't reach back to
-    // it.
-    std::vector<ForwardingDelta> since(LogIndex) const;
+    // Drops the oldest deltas until the others have at most this many bytes together, encoded.
+    void trim(size_t maxBytes);
+    // Returns the deltas that follow the state of this index, oldest first, as many as have at most `maxBytes`
+    // together; none when the history doesn't reach back to it.
+    std::vector<ForwardingDelta> since(LogIndex, size_t maxBytes) const;
 
 private:
-    const size_t m_limit;
+    struct Item {
+        ForwardingDelta delta;
+        size_t bytes = 0; // encoded
+    };
     ForwardingState m_newest;
-    std::vector<ForwardingDelta> m_deltas; // oldest first; the base of each is the state after the previous one
+    std::deque<Item> m_items; // oldest first; the base of each is the state after the previous one
+    size_t m_bytes = 0;
 };
 
 } // namespace cicadaward::cluster
--- a/libs/cluster/state_delta_test.cc
+++ b/libs/cluster/state_delta_test.cc
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr size_t historyBytes = 300;
+
 // Changes a state at random, as configurations and evacuations do.
 void change(ForwardingState& state, Random& random)
 {
@@ -82,16 +84,20 @@
         Random random(seed);
         ForwardingState state;
         state.index = 1;
-        DeltaHistory history(8);
+        DeltaHistory history;
         history.add(state);
         std::vector<ForwardingState> past { state };
         for (int step = 0; step < 30; ++step) {
             change(state, random);
             history.add(state);
             past.push_back(state);
+            history.trim(historyBytes);
             ForwardingState behind = past[random.below(past.size())];
-            std::vector<ForwardingDelta> deltas = history.since(behind.index);
-            bool isKept = state.index - behind.index <= 8;
+            size_t bytes = 0; // of all deltas that follow
+            for (size_t i = behind.index; i < past.size(); ++i)
+                bytes += encodeMessage(deltaBetween(past[i - 1], past[i])).size();
+            std::vector<ForwardingDelta> deltas = history.since(behind.index, historyBytes);
+            bool isKept = bytes <= historyBytes;
             REQUIRE(deltas.size() == (isKept ? state.index - behind.index : 0));
             if (deltas.empty())
                 continue;
@@ -101,6 +107,9 @@
                 REQUIRE(applyDelta(copy, behind));
             }
             REQUIRE(canonical(behind) == canonical(state));
+            size_t firstBytes = encodeMessage(deltas.front()).size();
+            REQUIRE(history.since(deltas.front().baseIndex, firstBytes - 1).empty());
+            REQUIRE(history.since(deltas.front().baseIndex, firstBytes).size() == 1);
         }
     }
 }
