Repeat the poll of a process that knows of a newer state

Callers could see: an entry or agent handled them by an older configuration for up to a poll interval (4 ms for each polling process: 0.4 s on small systems, 1.7 s at 419 processes, at most 12 s) beyond the time allowed, when one datagram was lost.

Cause: a notice of a new state brought one poll for its index, from whichever instance was first. When that poll or its answer was lost, the notice of the second instance was ignored and the next poll came at the interval.

Fix: while the process has heard of a newer state, from a notice or a reply, it polls again after 0.1 s, or an eighth of a long interval, then at doubling times up to the interval; the next instance in turn each time, or the source of a download. These polls are beside the regular ones, which keep their times and so their announcements.

--- a/libs/cluster/control_core_test.cc
+++ b/libs/cluster/control_core_test.cc
@@ -490,3 +490,34 @@
     process.run(applyLimit);
     CHECK(process.configuration.version == 2);
 }
+
+// Guards against a change that is late by a poll interval, which is up to 12 s: a poll that was sent because of a
+// notice was not repeated.
+TEST_CASE("control: a change is in force in time whichever datagram is lost", "[core]")
+{
+    for (uint32_t routes : { 3u, 3000u }) {
+        INFO(routes << " routes");
+        ThreeInstanceGroup group;
+        for (auto& node : group.nodes) {
+            for (uint32_t i = 0; i < 3000; ++i) // makes the poll interval long
+                node.core->onMessage({ 0x0B000000 + i, 7721 }, { MessageKind::Poll, encodeMessage(Poll()) });
+        }
+        PollingProcess process(group);
+        auto& leader = group.nodes[group.leader()];
+        leader.core->putConfiguration(1, largeConfiguration(1, routes), "text");
+        process.run(2s);
+        REQUIRE(process.configuration.version == 1);
+        uint64_t number = 1;
+        for (size_t lost = 0;; ++lost) {
+            process.datagrams = 0;
+            process.loses = [&](size_t datagram, size_t) { return datagram == lost; };
+            ++number;
+            leader.core->putConfiguration(number, largeConfiguration(number, routes), "text");
+            process.run(applyLimit);
+            INFO("lost datagram " << lost);
+            REQUIRE(process.configuration.version == number);
+            if (process.datagrams <= lost)
+                break;
+        }
+    }
+}
--- a/libs/cluster/poller.cc
+++ b/libs/cluster/poller.cc
@@ -14,6 +14,7 @@
     constexpr int contactTimeoutIntervals = 4;
     // A newer state that no instance has named for this long is not one of this group.
     constexpr Duration heardLifetime = std::chrono::seconds(5);
+    constexpr int retriesPerInterval = 8; // of a long interval, so that the retries of many pollers stay few
     constexpr uint64_t turnsPerFullCycle = 8; // every 8th poll also considers instances without a state
 
 } // namespace
@@ -126,9 +127,12 @@
         m_output.contactLost();
     }
     reportBehind();
-    if (m_controls.empty() || now < m_nextPoll)
+    if (m_controls.empty())
         return;
-    poll(nextSource(), 0);
+    retryIfBehind();
+    if (now < m_nextPoll)
+        return;
+    poll(m_state.index == 0 ? nextSource() : nextControl(), 0);
     if (m_state.index != 0 && !m_output.isWaitingForReply()) {
         m_waitInterval = m_options.initialWaitInterval;
         m_nextPoll = now + interval();
@@ -138,6 +142,22 @@
     m_waitInterval = std::min(2 * m_waitInterval, m_options.maxWaitInterval);
 }
 
+// A notice, a poll or its answer may be lost, and the interval is longer than a change may take to be in force.
+void Poller::retryIfBehind()
+{
+    if (!isBehind() || m_clock.now() < m_nextRetry)
+        return;
+    poll(nextSource(), 0);
+    m_nextRetry = m_clock.now() + m_retryInterval;
+    m_retryInterval = std::min(2 * m_retryInterval, interval());
+}
+
+void Poller::restartRetries()
+{
+    m_retryInterval = std::max(m_options.minRetryInterval, interval() / retriesPerInterval);
+    m_nextRetry = m_clock.now() + m_retryInterval;
+}
+
 Endpoint Poller::nextSource() { return m_download.isActive() ? m_download.source() : nextControl(); }
 
 bool Poller::onMessage(Endpoint sender, const Envelope& envelope)
@@ -199,6 +219,7 @@
     if (!state && reply.part.index > m_state.index) {
         if (!m_download.add(sender, reply.part))
             return false;
+        restartRetries();
         if (!m_download.isComplete())
             return true;
         state = m_download.take();
@@ -207,6 +228,7 @@
         return false;
     m_state = std::move(*state);
     m_lastProgress = m_clock.now();
+    restartRetries();
     if (m_download.index() <= m_state.index)
         m_download.abandon();
     m_output.onState(m_state);
@@ -232,19 +254,20 @@
 // Sends only one poll for each index, because two instances notify each poller.
 void Poller::onNotice(Endpoint sender, const StateNotice& notice)
 {
+    bool isNew = notice.stateIndex > heardIndex();
     hear(notice.stateIndex);
-    if (notice.stateIndex <= std::max(m_state.index, m_noticedIndex))
-        return;
-    m_noticedIndex = notice.stateIndex;
-    poll(sender, 0);
+    if (isNew)
+        poll(sender, 0);
 }
 
 void Poller::hear(LogIndex index)
 {
     if (index < m_heardIndex)
         return;
-    if (!isBehind())
+    if (!isBehind()) {
         m_lastProgress = m_clock.now();
+        restartRetries();
+    }
     m_heardIndex = index;
     m_lastHeard = m_clock.now();
 }
--- a/libs/cluster/poller.h
+++ b/libs/cluster/poller.h
@@ -4,9 +4,10 @@
 //     poller.onTick(); // sends what is due
 //     poller.onMessage(sender, envelope); // false: not a reply
 //
-// Cost: one poll per interval. The interval grows with the number of pollers, so the traffic of a control instance
-// doesn't depend on the size of the system. A reply has only what has changed. The state index and the versions of
-// member records only increase, so an instance that lags or was partitioned cannot restore old ones.
+// Cost: one poll per interval, and further ones while the state is older than one that it has heard of. The interval
+// grows with the number of pollers, so the traffic of a control instance doesn't depend on the size of the system. A
+// reply has only what has changed. The state index and the versions of member records only increase, so an instance
+// that lags or was partitioned cannot restore old ones.
 #pragma once
 
 #include "cluster/messages.h"
@@ -33,6 +34,8 @@
     Duration initialWaitInterval
         = std::chrono::milliseconds(30); // without a state or while isWaitingForReply(); doubles
     Duration maxWaitInterval = std::chrono::milliseconds(60); // upper bound of the doubling
+    Duration minRetryInterval
+        = std::chrono::milliseconds(100); // while a newer state is known and doesn't arrive; doubles
     Duration minConfirmationInterval = std::chrono::milliseconds(50); // between two confirmations
 };
 
@@ -102,12 +105,14 @@
     bool applyState(Endpoint sender, const PollReply&);
     std::optional<ForwardingState> stateFrom(const PollReply&) const;
     void applyMembers(Endpoint sender, const PollReply&);
-    Endpoint nextSource();
     void onConfirmation(const PollReply&);
     void onNotice(Endpoint sender, const StateNotice&);
     bool isBehind() const { return m_state.index != 0 && m_heardIndex > m_state.index; }
     void hear(LogIndex);
     void reportBehind();
+    void retryIfBehind();
+    void restartRetries();
+    Endpoint nextSource();
     void updateControls(LogIndex index, const std::vector<Endpoint>& controls);
 
     const PollerOptions m_options;
@@ -129,10 +134,11 @@
     bool m_inContact = false;
     ForwardingState m_state;
     StateDownload m_download; // of a state that is too large for one reply
-    LogIndex m_noticedIndex = 0; // newest state index in a notice
     LogIndex m_heardIndex = 0; // newest state index in a notice or reply
     Time m_lastHeard; // of m_heardIndex
     Time m_lastProgress; // the last time when the state was not behind, or became newer
+    Time m_nextRetry; // while the state is behind
+    Duration m_retryInterval {};
     bool m_reportedBehind = false;
     uint64_t m_lastConfirmationNumber = 0; // number of the last requested confirmation
     std::array<Time, 16>
