Keep the states of running transfers by age and bytes

Cause: StateSource kept two compressed states. Processes that follow closely get each new state in parts when the differences exceed one reply, so in a storm of changes the state of a slower transfer was dropped after two changes (120 ms at 0.06 s a change), and that transfer began again until the storm ended.

Fix: a state that newer ones have replaced stays for 2 s, within 4 MiB for all; a transfer begins with the newest one.

Evidence: "a transfer in parts goes on while newer states replace the one that it carries", now with a second process that gets each state, failed before (not complete after 38 changes, 50 ms apart). cluster_test: 38 cases pass.

--- a/libs/cluster/state_transfer.cc
+++ b/libs/cluster/state_transfer.cc
@@ -10,9 +10,9 @@
 
 namespace {
 
-    // A transfer goes on while newer states replace this one, for at least this time.
-    constexpr Duration minTransferLifetime = std::chrono::seconds(2);
-    constexpr size_t maxTransferredStates = 2;
+    // How long a transfer can go on after newer states have replaced the one that it carries, within the memory bound.
+    constexpr Duration transferLifetime = std::chrono::seconds(2);
+    constexpr size_t maxTransferredBytes = 4 << 20;
     constexpr Duration partTimeout = std::chrono::milliseconds(500);
 
 } // namespace
@@ -40,7 +40,7 @@
             return;
         }
     }
-    const CompressedState& sent = transfer ? *transfer : transferFrom(poll.stateIndex);
+    const CompressedState& sent = transfer ? *transfer : newestTransferred();
     uint64_t offset = transfer ? std::min<uint64_t>(poll.partOffset, sent.bytes.size()) : 0;
     reply.part = { sent.index, offset, sent.bytes.size(), sent.bytes.substr(offset, statePartBytes) };
 }
@@ -52,17 +52,16 @@
     return found == m_transferred.end() ? nullptr : &*found;
 }
 
-// The state for a transfer that begins: not always the newest one, so that quick changes don't end the transfers of
-// other processes. The differences to the newest state follow.
-const StateSource::CompressedState& StateSource::transferFrom(LogIndex known)
+const StateSource::CompressedState& StateSource::newestTransferred()
 {
-    Time now = m_clock.now();
-    bool isUsable = !m_transferred.empty() && m_transferred.back().index > known
-        && (m_transferred.back().index == m_index || now - m_transferred.back().made < minTransferLifetime);
-    if (!isUsable) {
-        m_transferred.push_back({ m_index, compress(m_encoded), now });
-        if (m_transferred.size() > maxTransferredStates)
-            m_transferred.pop_front();
+    if (m_transferred.empty() || m_transferred.back().index != m_index) {
+        m_transferred.push_back({ m_index, compress(m_encoded), m_clock.now() });
+        m_transferredBytes += m_transferred.back().bytes.size();
+    }
+    while (m_transferred.size() > 1
+        && (m_transferredBytes > maxTransferredBytes || m_clock.now() - m_transferred[1].made > transferLifetime)) {
+        m_transferredBytes -= m_transferred.front().bytes.size();
+        m_transferred.pop_front();
     }
     return m_transferred.back();
 }
--- a/libs/cluster/state_transfer.h
+++ b/libs/cluster/state_transfer.h
@@ -25,7 +25,7 @@
 constexpr size_t maxStateBytes = 32 << 20; // before compression
 
 // Memory: the encoded newest state, differences of at most the same size, and the compressed states that are
-// transferred in parts.
+// transferred in parts, at most 4 MiB or one state.
 class StateSource {
 public:
     explicit StateSource(const Clock& clock)
@@ -44,13 +44,14 @@
         Time made;
     };
     const CompressedState* transferred(LogIndex) const;
-    const CompressedState& transferFrom(LogIndex);
+    const CompressedState& newestTransferred();
 
     const Clock& m_clock;
     LogIndex m_index = 0;
     std::string m_encoded;
     DeltaHistory m_history;
     std::deque<CompressedState> m_transferred; // oldest first
+    size_t m_transferredBytes = 0;
 };
 
 // A state of which a process has received some parts.
--- a/libs/cluster/state_transfer_test.cc
+++ b/libs/cluster/state_transfer_test.cc
@@ -89,6 +89,8 @@
     for (LogIndex index = 2; !state; ++index) {
         REQUIRE(index < 40);
         PollReply reply = answer(source, 0, download);
+        StateDownload another(clock);
+        answer(source, index - 2, another); // a process that has each state gets the next one
         clock.advance(50ms);
         source.update(largeState(index));
         REQUIRE(download.add(peerA, reply.part));
