--- a/libs/cluster/poller.cc
+++ b/libs/cluster/poller.cc
@@ -12,6 +12,9 @@
     // Contact is lost without a reply for the longer of this time and this number of intervals.
     constexpr Duration contactTimeout = std::chrono::seconds(3);
     constexpr int contactTimeoutIntervals = 4;
+    // A newer state that no instance has named for this long is not one of this group.
+    constexpr Duration heardLifetime = std::chrono::seconds(5);
+    constexpr int retriesPerInterval = 8; // of a long interval, so that the retries of many pollers stay few
     constexpr uint64_t turnsPerFullCycle = 8; // every 8th poll also considers instances without a state
 
 } // namespace
@@ -25,6 +28,7 @@
     , m_waitInterval(m_options.initialWaitInterval)
     , m_nextPoll(clock.now())
     , m_lastReply(clock.now())
+    , m_download(clock)
 {
     sortControls();
     if (!m_controls.empty())
@@ -55,6 +59,11 @@
         poll.digest = m_output.memberDigest();
     poll.records = m_output.ownRecords();
     poll.confirmationNumber = confirmation;
+    poll.continues = true;
+    if (control == m_download.source()) {
+        poll.partIndex = m_download.index();
+        poll.partOffset = m_download.receivedBytes();
+    }
     poll.period = std::chrono::duration_cast<std::chrono::milliseconds>(interval() * turnsPerFullCycle);
     m_output.sendMessage(control, { MessageKind::Poll, encodeMessage(poll) });
 }
@@ -117,9 +126,13 @@
         m_withoutState.clear();
         m_output.contactLost();
     }
-    if (m_controls.empty() || now < m_nextPoll)
+    reportBehind();
+    if (m_controls.empty())
+        return;
+    retryIfBehind();
+    if (now < m_nextPoll)
         return;
-    poll(nextControl(), 0);
+    poll(m_state.index == 0 ? nextSource() : nextControl(), 0);
     if (m_state.index != 0 && !m_output.isWaitingForReply()) {
         m_waitInterval = m_options.initialWaitInterval;
         m_nextPoll = now + interval();
@@ -129,6 +142,24 @@
     m_waitInterval = std::min(2 * m_waitInterval, m_options.maxWaitInterval);
 }
 
+// A notice, a poll or its answer may be lost, and the interval is longer than a change may take to be in force.
+void Poller::retryIfBehind()
+{
+    if (!isBehind() || m_clock.now() < m_nextRetry)
+        return;
+    poll(nextSource(), 0);
+    m_nextRetry = m_clock.now() + m_retryInterval;
+    m_retryInterval = std::min(2 * m_retryInterval, interval());
+}
+
+void Poller::restartRetries()
+{
+    m_retryInterval = std::max(m_options.minRetryInterval, interval() / retriesPerInterval);
+    m_nextRetry = m_clock.now() + m_retryInterval;
+}
+
+Endpoint Poller::nextSource() { return m_download.isActive() ? m_download.source() : nextControl(); }
+
 bool Poller::onMessage(Endpoint sender, const Envelope& envelope)
 {
     PollReply reply;
@@ -161,9 +192,16 @@
     if (reply.leader.port != 0)
         m_output.onLeader(reply.leader, reply.term);
     updateControls(reply.stateIndex, reply.controls);
-    applyState(reply);
-    if (!m_options.wantsMembers)
-        return;
+    hear(reply.stateIndex);
+    bool progressed = applyState(sender, reply);
+    if (m_options.wantsMembers)
+        applyMembers(sender, reply);
+    if ((progressed && reply.stateIndex > m_state.index) || reply.wantsDigest)
+        poll(sender, 0);
+}
+
+void Poller::applyMembers(Endpoint sender, const PollReply& reply)
+{
     if (reply.table.owner != 0)
         m_tables[sender] = reply.table;
     else
@@ -173,35 +211,81 @@
     for (Endpoint agent : reply.silent)
         m_output.onSilentMember(agent);
     onConfirmation(reply);
-    if (reply.wantsDigest)
-        poll(sender, 0);
 }
 
-void Poller::applyState(const PollReply& reply)
+bool Poller::applyState(Endpoint sender, const PollReply& reply)
 {
-    ForwardingState state;
-    if (!reply.deltas.empty()) {
-        state = m_state;
-        for (const ForwardingDelta& delta : reply.deltas) {
-            if (!applyDelta(delta, state))
-                return; // the reply answers an earlier poll
-        }
-    } else if (reply.state.empty() || !decodeMessage(reply.state, state)) {
-        return;
+    std::optional<ForwardingState> state = stateFrom(reply);
+    if (!state && reply.part.index > m_state.index) {
+        if (!m_download.add(sender, reply.part))
+            return false;
+        restartRetries();
+        if (!m_download.isComplete())
+            return true;
+        state = m_download.take();
     }
-    if (state.index <= m_state.index)
-        return;
-    m_state = std::move(state);
+    if (!state || state->index <= m_state.index)
+        return false;
+    m_state = std::move(*state);
+    m_lastProgress = m_clock.now();
+    restartRetries();
+    if (m_download.index() <= m_state.index)
+        m_download.abandon();
     m_output.onState(m_state);
+    return true;
+}
+
+// Returns nothing when the reply has no state, or deltas for another one because it answers an earlier poll.
+std::optional<ForwardingState> Poller::stateFrom(const PollReply& reply) const
+{
+    ForwardingState state;
+    if (reply.deltas.empty()) {
+        bool isState = !reply.state.empty() && decodeMessage(reply.state, state);
+        return isState ? std::optional<ForwardingState>(std::move(state)) : std::nullopt;
+    }
+    state = m_state;
+    for (const ForwardingDelta& delta : reply.deltas) {
+        if (!applyDelta(delta, state))
+            return std::nullopt;
+    }
+    return state;
 }
 
 // Sends only one poll for each index, because two instances notify each poller.
 void Poller::onNotice(Endpoint sender, const StateNotice& notice)
 {
-    if (notice.stateIndex <= std::max(m_state.index, m_noticedIndex))
+    bool isNew = notice.stateIndex > heardIndex();
+    hear(notice.stateIndex);
+    if (isNew)
+        poll(sender, 0);
+}
+
+void Poller::hear(LogIndex index)
+{
+    if (index < m_heardIndex)
         return;
-    m_noticedIndex = notice.stateIndex;
-    poll(sender, 0);
+    if (!isBehind()) {
+        m_lastProgress = m_clock.now();
+        restartRetries();
+    }
+    m_heardIndex = index;
+    m_lastHeard = m_clock.now();
+}
+
+Duration Poller::behindFor() const { return isBehind() ? m_clock.now() - m_lastProgress : Duration::zero(); }
+
+void Poller::reportBehind()
+{
+    if (isBehind() && m_clock.now() - m_lastHeard > heardLifetime)
+        m_heardIndex = m_state.index;
+    bool isLate = behindFor() > behindReportDelay;
+    if (isLate == m_reportedBehind)
+        return;
+    m_reportedBehind = isLate;
+    if (isLate)
+        m_output.stateBehind(m_heardIndex);
+    else
+        m_output.stateCaughtUp();
 }
 
 // The seeds stay in the list: they let the process reconnect after all other instances have been replaced.
--- a/libs/cluster/poller.h
+++ b/libs/cluster/poller.h
@@ -4,15 +4,18 @@
 //     poller.onTick(); // sends what is due
 //     poller.onMessage(sender, envelope); // false: not a reply
 //
-// Cost: one poll per interval. The interval grows with the number of pollers, so the traffic of a control instance
-// doesn't depend on the size of the system. A reply has only what has changed. The state index and the versions of
-// member records only increase, so an instance that lags or was partitioned cannot restore old ones.
+// Cost: one poll per interval, and further ones while the state is older than one that it has heard of. The interval
+// grows with the number of pollers, so the traffic of a control instance doesn't depend on the size of the system. A
+// reply has only what has changed. The state index and the versions of member records only increase, so an instance
+// that lags or was partitioned cannot restore old ones.
 #pragma once
 
 #include "cluster/messages.h"
+#include "cluster/state_transfer.h"
 #include "core/clock.h"
 #include "core/random.h"
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <map>
@@ -31,10 +34,13 @@
     Duration initialWaitInterval
         = std::chrono::milliseconds(30); // without a state or while isWaitingForReply(); doubles
     Duration maxWaitInterval = std::chrono::milliseconds(60); // upper bound of the doubling
+    Duration minRetryInterval
+        = std::chrono::milliseconds(100); // while a newer state is known and doesn't arrive; doubles
     Duration minConfirmationInterval = std::chrono::milliseconds(50); // between two confirmations
 };
 
 constexpr size_t maxControls = 32;
+constexpr Duration behindReportDelay = std::chrono::seconds(2);
 
 class PollerOutput {
 public:
@@ -42,6 +48,10 @@
     virtual void sendMessage(Endpoint control, const Envelope&) = 0;
     virtual void contactLost() = 0;
     virtual void contactRenewed() = 0;
+    // The state has been older than the newest one that the process has heard of for behindReportDelay, without
+    // progress; and the end of that.
+    virtual void stateBehind(LogIndex /* heard */) { }
+    virtual void stateCaughtUp() { }
 
     // Called for the contents of a reply; a process overrides what it needs.
     virtual void onState(const ForwardingState&) { }
@@ -77,6 +87,11 @@
     void updateControls(const std::vector<Endpoint>& controls) { updateControls(0, controls); }
 
     LogIndex stateIndex() const { return m_state.index; }
+    // The newest state index that a notice or a reply has named.
+    LogIndex heardIndex() const { return std::max(m_heardIndex, m_state.index); }
+    // How long the state has been older than that without progress; zero without a state.
+    Duration behindFor() const;
+    Duration sinceLastReply() const { return m_clock.now() - m_lastReply; }
     bool isInContact() const { return m_inContact; }
     const std::vector<Endpoint>& controls() const { return m_controls; }
 
@@ -86,9 +101,18 @@
     void sortControls();
     bool comesBefore(Endpoint, Endpoint) const;
     Duration interval() const;
-    void applyState(const PollReply&);
+    // Returns whether the reply brought this process nearer to the newest state.
+    bool applyState(Endpoint sender, const PollReply&);
+    std::optional<ForwardingState> stateFrom(const PollReply&) const;
+    void applyMembers(Endpoint sender, const PollReply&);
     void onConfirmation(const PollReply&);
     void onNotice(Endpoint sender, const StateNotice&);
+    bool isBehind() const { return m_state.index != 0 && m_heardIndex > m_state.index; }
+    void hear(LogIndex);
+    void reportBehind();
+    void retryIfBehind();
+    void restartRetries();
+    Endpoint nextSource();
     void updateControls(LogIndex index, const std::vector<Endpoint>& controls);
 
     const PollerOptions m_options;
@@ -109,7 +133,13 @@
     Time m_lastReply;
     bool m_inContact = false;
     ForwardingState m_state;
-    LogIndex m_noticedIndex = 0; // newest state index in a notice
+    StateDownload m_download; // of a state that is too large for one reply
+    LogIndex m_heardIndex = 0; // newest state index in a notice or reply
+    Time m_lastHeard; // of m_heardIndex
+    Time m_lastProgress; // the last time when the state was not behind, or became newer
+    Time m_nextRetry; // while the state is behind
+    Duration m_retryInterval {};
+    bool m_reportedBehind = false;
     uint64_t m_lastConfirmationNumber = 0; // number of the last requested confirmation
     std::array<Time, 16>
         m_confirmationTimes {}; // request times by number modulo the size; replies may be several intervals late
