Let no heartbeat end the flows of a target

One heartbeat of another writer, for example of a service that no configuration names, was taken for a new start of the target: the agent reset each flow that it knew, denied the others as certain, announced the other service, and passed over the target's own heartbeats for 4.8 s.

Cause: TargetRegistration believed the newest start time, and TargetFlows::markTargetEnded took a heartbeat for the proof that the target had ended. A late heartbeat of an earlier start did the same after a pause of the agent's process, which counted as silence of the target, and after a DELETE.

Now a heartbeat of another start is a claim. It takes effect when the registered start has departed, has been silent for a quarter more than an interval while the agent ran (four intervals when the claim looks older), or when the target bounces a packet of a flow that it held. Of several claims the one that is heard again wins; until then no SYN goes to the address, so ROUTE and DRAIN hold. A flow is reset as ended only when the target has bounced a packet that acknowledges its answers; the target is asked as often as before, since such a packet brought the reset before too. Heartbeats of services that the configuration in force does not name are answered with 200 without effect and wait for a configuration that names them; a target whose service was removed is still heard.

The model's targets number their answers, as the reset needs the sequence of the bytes.

--- a/daemons/flow_agent_daemon.cc
+++ b/daemons/flow_agent_daemon.cc
@@ -42,6 +42,23 @@
         return EventId::TargetRestored;
     }
 
+    EventId eventOf(steering::HeartbeatResult result, const steering::Heartbeat& heartbeat)
+    {
+        switch (result) {
+        case steering::HeartbeatResult::Outdated:
+            return EventId::HeartbeatOutdated;
+        case steering::HeartbeatResult::Claimed:
+            return EventId::HeartbeatClaimed;
+        case steering::HeartbeatResult::UnknownService:
+            return EventId::HeartbeatUnnamed;
+        case steering::HeartbeatResult::Unchanged:
+        case steering::HeartbeatResult::Changed:
+        case steering::HeartbeatResult::NewStart:
+            break;
+        }
+        return heartbeat.draining ? EventId::TargetDraining : EventId::TargetUp;
+    }
+
     cluster::PollerOptions pollerOptions(const Settings& settings)
     {
         cluster::PollerOptions options;
@@ -154,12 +171,9 @@
     steering::HeartbeatResult result = m_steering.onHeartbeat(heartbeat);
     if (result == steering::HeartbeatResult::Unchanged)
         return;
-    EventId event = EventId::TargetUp;
-    if (result == steering::HeartbeatResult::Outdated)
-        event = EventId::HeartbeatOutdated;
-    else if (heartbeat.draining)
-        event = EventId::TargetDraining;
-    m_base.log->write(event,
+    if (result == steering::HeartbeatResult::Claimed || result == steering::HeartbeatResult::UnknownService)
+        m_base.metrics.counter("target.heartbeats-not-taken").add();
+    m_base.log->write(eventOf(result, heartbeat),
         { { "id", heartbeat.id }, { "born", heartbeat.startTimeMs }, { "sequence", heartbeat.sequence },
             { "warm-up-ms", heartbeat.warmUpLeft.count() } });
 }
@@ -207,6 +221,7 @@
         m_base.log->write(EventId::StateTaken,
             { { "service", policy.name }, { "warm-up-ms", policy.warmUp.count() },
                 { "warm-up-rate", policy.warmUpRate }, { "max-flows", policy.maxFlows } });
+    announceRecordIfChanged(); // the state may name the service of a heartbeat that waited for it
 }
 
 void FlowAgentDaemon::contactLost() { m_base.log->write(EventId::ControlContactLost, {}); }
--- a/libs/observe/events.cc
+++ b/libs/observe/events.cc
@@ -88,6 +88,10 @@
             "the pause has ended; the target takes one new flow at a time until they are answered" },
         { EventId::TargetRestored, EventLevel::Info, "target-restored",
             "the target answers again and takes new flows" },
+        { EventId::HeartbeatClaimed, EventLevel::Warning, "heartbeat-claimed",
+            "a heartbeat names another start while the registered target may live; no new flows until that is clear" },
+        { EventId::HeartbeatUnnamed, EventLevel::Warning, "heartbeat-unnamed",
+            "a heartbeat names a service that the configuration in force does not name; it waits for one that does" },
 
         { EventId::PacketDropped, EventLevel::Warning, "packet-dropped",
             "packets dropped for one reason; at most one line for each reason and second, with the count" },
--- a/libs/observe/events.h
+++ b/libs/observe/events.h
@@ -57,6 +57,8 @@
     TargetEjected = 317,
     TargetHalfOpen = 318,
     TargetRestored = 319,
+    HeartbeatClaimed = 323,
+    HeartbeatUnnamed = 324,
 
     PacketDropped = 400,
     MessageNotAuthenticated = 401,
--- a/libs/steering/agent_fixture.h
+++ b/libs/steering/agent_fixture.h
@@ -36,6 +36,15 @@
         agent.setState(makeHubRouteTable(), {});
         sendHeartbeat();
     }
+    // The agent's process runs for this time.
+    void run(Duration duration)
+    {
+        constexpr Duration tickInterval = std::chrono::milliseconds(25);
+        for (; duration > Duration::zero(); duration -= tickInterval) {
+            clock.advance(tickInterval);
+            agent.onTick();
+        }
+    }
     HeartbeatResult sendHeartbeat(const std::string& id = "t-1", uint64_t startTimeMs = 100, bool draining = false,
         std::chrono::milliseconds cold = std::chrono::milliseconds(0))
     {
@@ -74,6 +83,14 @@
         agent.onFrame(entryEndpoint, bytes.data(), bytes.size());
     }
     void offer(const FlowId& flow) { frame(FrameKind::Offer, synPacket(flow), { options().self }); }
+    // The target takes the flow and has sent data up to `answerEnd`.
+    void open(const FlowId& flow, uint32_t answerEnd)
+    {
+        offer(flow);
+        FlowPacket answer = dataPacket(flow, 0);
+        answer.sequence = answerEnd;
+        receiveFromTarget(answer);
+    }
     void receiveFromTarget(FlowPacket head)
     {
         std::vector<uint8_t> bytes = FakePacketFormat::encode(head);
--- a/libs/steering/agent_requests_test.cc
+++ b/libs/steering/agent_requests_test.cc
@@ -153,6 +153,7 @@
     }
     SECTION("the target restarts")
     {
+        fixture.run(1600ms);
         fixture.sendHeartbeat("t-1", 200);
         REQUIRE(fixture.agent.isAwaitingRegistration() == false);
     }
--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -12,6 +12,7 @@
 namespace {
 
     constexpr auto defaultRequestTimeout = std::chrono::seconds(5); // for routes without a timeout
+    constexpr size_t maxUnnamedHeartbeats = 4;
     constexpr double loadScale = 100; // load() is in hundredths of a request per slot
     constexpr double workPerOpenFlow = 0.1; // requests
 
@@ -47,6 +48,7 @@
     m_routes = std::move(routes);
     m_evacuatedDataCentres = std::move(evacuated);
     m_hasState = true;
+    takeNamed();
     if (!wasEvacuated || isEvacuated || !m_registration.lastHeartbeat())
         return;
     // The target may have become cold during the evacuation, and its next heartbeat may report that too late.
@@ -55,12 +57,55 @@
 }
 
 HeartbeatResult AgentSteering::onHeartbeat(const Heartbeat& heartbeat)
+{
+    if (isNamed(heartbeat))
+        return takeHeartbeat(heartbeat, m_clock.now());
+    keepUnnamed(heartbeat);
+    return HeartbeatResult::UnknownService;
+}
+
+// The registered target is heard even after its service was removed: it may hold flows, and it may drain.
+bool AgentSteering::isNamed(const Heartbeat& heartbeat) const
+{
+    const std::optional<Heartbeat>& registered = m_registration.lastHeartbeat();
+    return (registered && registered->isSameStart(heartbeat))
+        || (m_hasState && m_routes.policy(heartbeat.service) != nullptr);
+}
+
+void AgentSteering::keepUnnamed(const Heartbeat& heartbeat)
+{
+    auto found = std::find_if(m_unnamedHeartbeats.begin(), m_unnamedHeartbeats.end(),
+        [&](const UnnamedHeartbeat& kept) { return kept.heartbeat.isSameStart(heartbeat); });
+    if (found != m_unnamedHeartbeats.end() && found->heartbeat.sequence >= heartbeat.sequence)
+        return;
+    if (found != m_unnamedHeartbeats.end())
+        m_unnamedHeartbeats.erase(found);
+    else if (m_unnamedHeartbeats.size() == maxUnnamedHeartbeats)
+        m_unnamedHeartbeats.erase(m_unnamedHeartbeats.begin());
+    m_unnamedHeartbeats.push_back({ heartbeat, m_clock.now() });
+}
+
+void AgentSteering::takeNamed()
+{
+    std::vector<UnnamedHeartbeat> kept;
+    kept.swap(m_unnamedHeartbeats);
+    for (const UnnamedHeartbeat& unnamed : kept) {
+        if (m_clock.now() - unnamed.arrived > m_options.admission.maxHeartbeatAge)
+            continue;
+        if (isNamed(unnamed.heartbeat))
+            takeHeartbeat(unnamed.heartbeat, unnamed.arrived);
+        else
+            m_unnamedHeartbeats.push_back(unnamed);
+    }
+}
+
+HeartbeatResult AgentSteering::takeHeartbeat(const Heartbeat& heartbeat, Time arrived)
 {
     bool hadTarget = m_registration.lastHeartbeat().has_value();
-    HeartbeatResult result = m_registration.onHeartbeat(heartbeat);
+    HeartbeatResult result = m_registration.onHeartbeat(heartbeat, arrived);
     if (result == HeartbeatResult::NewStart)
         onNewStart(hadTarget);
-    if (result != HeartbeatResult::Outdated) {
+    if (result == HeartbeatResult::Unchanged || result == HeartbeatResult::Changed) {
         m_admission.onTargetActivity();
         m_requests.setSlots(heartbeat.slots);
     }
@@ -71,21 +116,24 @@
 {
     m_hasUnannouncedStart = true;
     m_registeredStart = 0;
-    m_hasUntrackedFlows = false;
-    // When this process missed the first heartbeat of the new start, flows in the table may belong to that start, so
-    // none is marked as ended. Packets of the target show which flows it holds.
-    if (m_registration.hasSeenStart())
-        m_flows.markTargetEnded();
-    else if (hadTarget)
-        m_flows.clear();
-    else
+    m_hasUntrackedFlows = m_hasUntrackedFlows && !m_registration.hasEarlierStartEnded();
+    m_admission.onTargetActivity();
+    m_requests.setSlots(m_registration.lastHeartbeat()->slots);
+    if (!hadTarget && !m_registration.hasSeenStart())
         return;
+    m_flows.onNewStart();
     m_admission.reset();
     m_requests.reset();
     m_outliers.reset();
 }
 
-bool AgentSteering::onDeparture(const std::string& id) { return m_registration.onDeparture(id); }
+bool AgentSteering::onDeparture(const std::string& id)
+{
+    m_unnamedHeartbeats.erase(std::remove_if(m_unnamedHeartbeats.begin(), m_unnamedHeartbeats.end(),
+                                  [&](const UnnamedHeartbeat& kept) { return kept.heartbeat.id == id; }),
+        m_unnamedHeartbeats.end());
+    return m_registration.onDeparture(id);
+}
 
 const MemberRecord& AgentSteering::record()
 {
@@ -171,7 +219,7 @@
 void AgentSteering::onOffer(Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
 {
     TargetFlow* known = m_flows.find(packet.flow);
-    bool hasTarget = m_registration.state() != TargetState::Departed;
+    bool hasTarget = m_registration.state() != TargetState::Departed && !m_registration.isContested();
     if (known && known->synForwarded && !known->targetEnded && hasTarget) {
         known->entryToNotify = frame.entry;
         forwardToTarget(frame, packet.flow, data, size); // a retransmitted SYN of a flow that the target has
--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -12,7 +12,8 @@
 // Every new flow and every request of the target passes through its agent, whichever entry sent it. The agent therefore
 // enforces draining, evacuation and the warm-up budget across all entries, and queues the requests beyond the target's
 // slots in the order of RequestQueue. The flow table holds only the flows that this process has seen; the target is the
-// authority on which flows it holds.
+// authority on which flows it holds. A flow is reset because its target has ended only when the target has bounced a
+// packet of it after another start was announced.
 //
 // Memory: about 150 bytes for each of at most `maxFlows` flows, about 100 bytes for each of `forwardedPacketSlots`
 // frame heads, and the RequestQueue.
@@ -59,6 +60,8 @@
     AgentSteering(AgentOptions, const PacketFormat&, const Clock&, DecisionObserver&, AgentOutput&);
 
     void setState(RouteTable, std::set<std::string> evacuated);
+    // A heartbeat of a service that the configuration in force does not name is kept until a configuration names it.
+    // All are kept before the first state.
     HeartbeatResult onHeartbeat(const Heartbeat&);
     bool onDeparture(const std::string& id);
     // `data` is changed in place: a packet that is forwarded to the target is given a mark.
@@ -96,6 +99,12 @@
         Frame frame;
     };
 
+    // A heartbeat of a service that the configuration in force does not name.
+    struct UnnamedHeartbeat {
+        Heartbeat heartbeat;
+        Time arrived;
+    };
+
     const char* refusalReason(const FlowId&);
     void onOffer(Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void accept(Frame&, const FlowPacket&, uint8_t* data, size_t size);
@@ -118,7 +127,13 @@
     void detectUnanswered();
     void sendLocated(const FlowId&, TargetFlow&);
     void eraseFlow(const FlowId&);
+    bool isNamed(const Heartbeat&) const;
+    void keepUnnamed(const Heartbeat&);
+    void takeNamed();
+    HeartbeatResult takeHeartbeat(const Heartbeat&, Time arrived);
     void onNewStart(bool hadTarget);
+    bool hasTargetLost(const TargetFlow&, const FlowPacket&) const;
+    void onFlowLost(TargetFlow&, const FlowPacket&);
     void expire();
 
     const AgentOptions m_options;
@@ -130,6 +145,7 @@
     bool m_hasState = false;
     std::set<std::string> m_evacuatedDataCentres;
     TargetRegistration m_registration;
+    std::vector<UnnamedHeartbeat> m_unnamedHeartbeats; // the newest of each start, at most maxUnnamedHeartbeats
     FlowAdmission m_admission;
     MemberRecord m_record;
     uint64_t m_registeredStart = 0;
--- a/libs/steering/agent_target.cc
+++ b/libs/steering/agent_target.cc
@@ -65,7 +65,7 @@
     }
     recordResult(*packet, *flow);
     flow->lastPacket = m_clock.now();
-    flow->targetEnded = false;
+    flow->targetEnded = flow->mayHaveEnded = false;
     flow->recordTargetData(*packet);
     flow->seenFromTarget = true;
     flow->recordTargetAck(*packet);
@@ -124,8 +124,40 @@
     m_outliers.onFailed(packet.reset ? TargetFailure::Reset : TargetFailure::Closed, packet.flow.caller.address);
 }
 
+// Bounced packets prove that the target has lost a flow only when the target held it: its packets were seen, and the
+// caller's packet acknowledges them.
+bool AgentSteering::hasTargetLost(const TargetFlow& flow, const FlowPacket& packet) const
+{
+    bool mayHaveEnded = flow.mayHaveEnded || (flow.established && m_registration.isContested());
+    return mayHaveEnded && !packet.syn && flow.isAckOfAnswer(packet);
+}
+
+void AgentSteering::onFlowLost(TargetFlow& flow, const FlowPacket& packet)
+{
+    m_requests.cancel(packet.flow, flow);
+    bool wasPresent = flow.established;
+    flow.mayHaveEnded = flow.established = false;
+    flow.targetEnded = true;
+    if (!wasPresent)
+        m_registration.onEarlierFlowsLost();
+    else if (m_registration.onFlowsLost())
+        onNewStart(true);
+    if (m_registration.hasEarlierStartEnded())
+        m_hasUntrackedFlows = false;
+    if (packet.reset)
+        return;
+    std::vector<uint8_t> reset = m_format.reset(packet.flow, packet.acknowledged);
+    m_output.sendToCaller(packet.flow, reset.data(), reset.size());
+    m_observer.onDecision(Decision::Reset, packet.flow, { {}, "its target has ended", m_routes.version() });
+}
+
 void AgentSteering::onBounced(const FlowPacket& packet, uint8_t* data, size_t size)
 {
+    if (TargetFlow* flow = m_flows.find(packet.flow); flow && hasTargetLost(*flow, packet)) {
+        onFlowLost(*flow, packet);
+        forwardQueuedRequests();
+        return;
+    }
     eraseFlow(packet.flow);
     forwardQueuedRequests();
     const ForwardedPacket& forwarded = m_forwardedPackets[packet.mark % m_forwardedPackets.size()];
@@ -162,6 +194,8 @@
 
 void AgentSteering::onTick()
 {
+    if (m_registration.onTick())
+        onNewStart(true);
     detectUnanswered();
     if (m_clock.now() - m_lastExpiry >= expiryInterval)
         expire();
--- a/libs/steering/fabric_faults.cc
+++ b/libs/steering/fabric_faults.cc
@@ -109,6 +109,65 @@
     }
 }
 
+// Another writer names a service that may be unknown, any id, and a start that may look newer or older than the
+// target's, or have no time. Only the id and the start of the target itself never come together.
+Heartbeat Fabric::foreignHeartbeat(size_t index)
+{
+    const Target& target = m_targets[index];
+    Heartbeat heartbeat;
+    bool hasOwnId = m_random.below(3) == 0;
+    heartbeat.id = hasOwnId ? "t-" + std::to_string(index) : "x-" + std::to_string(m_random.below(2));
+    // Between the end of a target and the first heartbeat of the next one, nothing tells who is at the address.
+    bool hasTarget = target.sequence > 0;
+    heartbeat.service
+        = m_random.below(2) == 0 || !hasTarget ? serviceKey("unknown") : fabricServices[m_random.below(3)];
+    heartbeat.draining = m_random.below(4) == 0;
+    heartbeat.startTimeMs = m_random.below(4) == 0 ? 0 : target.startTimeMs() + 5 * m_random.below(3) - 5;
+    if (hasOwnId && heartbeat.startTimeMs == target.startTimeMs())
+        heartbeat.startTimeMs += 5;
+    heartbeat.sequence = m_random.below(2) == 0 ? m_random.below(3) : m_random.below(1000);
+    heartbeat.slots = 6;
+    return heartbeat;
+}
+
+Heartbeat Fabric::lateHeartbeat(size_t index)
+{
+    const std::deque<Heartbeat>& sent = m_sentHeartbeats[index];
+    return sent.empty() ? foreignHeartbeat(index) : sent[m_random.below(sent.size())];
+}
+
+void Fabric::injectHeartbeatFault()
+{
+    size_t index = m_random.below(agentCount());
+    Heartbeat heartbeat = m_random.below(2) == 0 ? foreignHeartbeat(index) : lateHeartbeat(index);
+    if (isWorking(agentFault(index)) && m_random.below(40) == 0)
+        freeze(m_options.entries + index, 5s); // longer than AgentOptions::heartbeatTimeout
+    giveHeartbeat(index, heartbeat);
+}
+
+void Fabric::giveHeartbeat(size_t index, const Heartbeat& heartbeat)
+{
+    constexpr size_t maxKept = 8;
+    if (heartbeat.id == "t-" + std::to_string(index) && heartbeat.startTimeMs == m_targets[index].startTimeMs())
+        m_sentHeartbeats[index].push_back(heartbeat);
+    if (m_sentHeartbeats[index].size() > maxKept)
+        m_sentHeartbeats[index].pop_front();
+    if (isWorking(agentFault(index)))
+        m_agents[index]->steering->onHeartbeat(heartbeat);
+    else if (!agentFault(index).down)
+        m_heldHeartbeats[index].push_back(heartbeat);
+}
+
+void Fabric::giveHeldHeartbeats()
+{
+    for (size_t i = 0; i < agentCount(); ++i) {
+        if (agentFault(i).down)
+            m_heldHeartbeats[i].clear();
+        for (; isWorking(agentFault(i)) && !m_heldHeartbeats[i].empty(); m_heldHeartbeats[i].pop_front())
+            m_agents[i]->steering->onHeartbeat(m_heldHeartbeats[i].front());
+    }
+}
+
 void Fabric::kill(size_t process, Duration duration)
 {
     m_faults[process].down = true;
--- a/libs/steering/fabric_simulation.cc
+++ b/libs/steering/fabric_simulation.cc
@@ -41,6 +41,8 @@
         m_targets.back().service = fabricServices[i % 3];
     }
     m_faults.resize(m_options.entries + agentCount());
+    m_sentHeartbeats.resize(agentCount());
+    m_heldHeartbeats.resize(agentCount());
     changeRoutes();
     for (size_t i = 0; i < agentCount(); ++i) {
         bool isAdded = m_options.processFaults && m_random.below(10) == 0;
@@ -63,7 +65,10 @@
             injectProcessFault();
         if (m_options.targetFaults && m_random.below(m_options.stepsPerFault) == 0)
             injectTargetFault();
+        if (m_options.heartbeatFaults && m_random.below(m_options.stepsPerFault) == 0)
+            injectHeartbeatFault();
         endFaults();
+        giveHeldHeartbeats();
         deliver();
         sendDueAnswers();
         tick();
@@ -283,7 +288,10 @@
         if (flow.lost || flow.isReset)
             continue;
         flow.hasOpenRequest = false;
-        sendFromTarget(flow.target, dataPacket(id, 30));
+        FlowPacket answer = dataPacket(id, 30);
+        answer.sequence = flow.answerEnd;
+        flow.answerEnd += answer.length;
+        sendFromTarget(flow.target, answer);
     }
 }
 
@@ -314,10 +322,12 @@
         flow.isReset = true;
     } else if (packet.syn && flow.target == SIZE_MAX && !flow.isReset) {
         flow.target = index; // the caller acknowledges the first SYN-ACK that it receives
-        flow.acknowledged = packet.sequence + 1;
+        flow.acknowledged = flow.answerEnd = packet.sequence + 1;
         m_targets[index].flows[id.caller.port] = true;
         flow.nextPacket = m_clock.now();
         ++m_opened;
+    } else if (!packet.syn && packet.sequence == flow.acknowledged) {
+        flow.acknowledged += packet.length;
     }
 }
 
@@ -430,17 +440,17 @@
 
 void Fabric::sendHeartbeat(size_t index)
 {
-    if (!isWorking(agentFault(index)))
+    if (!m_options.heartbeatFaults && !isWorking(agentFault(index)))
         return;
     Target& target = m_targets[index];
     Heartbeat heartbeat;
     heartbeat.id = "t-" + std::to_string(index);
     heartbeat.service = target.service;
     heartbeat.draining = target.draining;
-    heartbeat.startTimeMs = target.startNumber;
+    heartbeat.startTimeMs = target.startTimeMs();
     heartbeat.sequence = ++target.sequence;
     heartbeat.slots = 6;
-    m_agents[index]->steering->onHeartbeat(heartbeat);
+    giveHeartbeat(index, heartbeat);
 }
 
 } // namespace cicadaward::steering
--- a/libs/steering/fabric_simulation.h
+++ b/libs/steering/fabric_simulation.h
@@ -6,12 +6,15 @@
 // With `processFaults`, processes are also killed, frozen, slowed and added, entries are restarted in turn, the targets
 // of a service are replaced one after the other, and targets bounce packets late or not at all. These faults overlap.
 // With `targetFaults`, targets reset flows that send a request, or do not answer, while their heartbeats are good.
+// With `heartbeatFaults`, heartbeats of other writers arrive, late ones of any start, and, when a frozen agent is
+// thawed, all that were sent to it meanwhile.
 #pragma once
 
 #include "core/random.h"
 #include "steering/test_fabric.h"
 
 #include <array>
+#include <deque>
 #include <map>
 #include <memory>
 #include <queue>
@@ -28,6 +31,7 @@
     std::array<size_t, 3> targets { 3, 2, 2 }; // of each service
     bool processFaults = false;
     bool targetFaults = false;
+    bool heartbeatFaults = false;
     uint64_t stepsPerFault = 60; // mean number of simulation steps between faults
 };
 
@@ -65,6 +69,8 @@
         Time slowUntil; // until then the target bounces packets late or not at all
         Time failingUntil; // until then the target resets flows with a request, or does not answer
         bool isHanging = false; // while it fails, the target does not answer
+
+        uint64_t startTimeMs() const { return 10 * startNumber; }
     };
     // Current faults of the process of an entry or agent.
     struct Fault {
@@ -85,6 +91,7 @@
         bool hasOpenRequest = false; // a request has no answer yet
         uint32_t sequence = 1; // sequence number of the next data
         uint32_t acknowledged = 0;
+        uint32_t answerEnd = 0; // sequence number after the newest answer of the target
         uint8_t synRetransmits = 0;
     };
     // Answer of the control leader to an entry: the state at the time of the request.
@@ -204,6 +211,11 @@
     void injectProcessFault();
     // Lets a few targets fail, or sometimes all of a service.
     void injectTargetFault();
+    void injectHeartbeatFault();
+    Heartbeat foreignHeartbeat(size_t index);
+    Heartbeat lateHeartbeat(size_t index);
+    void giveHeartbeat(size_t index, const Heartbeat&);
+    void giveHeldHeartbeats();
     void onRequestAtTarget(size_t index, Flow&);
     void kill(size_t process, Duration);
     void freeze(size_t process, Duration);
@@ -222,6 +234,8 @@
     std::vector<std::unique_ptr<AgentNode>> m_agents;
     std::vector<Target> m_targets;
     std::vector<Fault> m_faults; // by index of the process
+    std::vector<std::deque<Heartbeat>> m_sentHeartbeats; // by agent: the newest ones of its targets
+    std::vector<std::deque<Heartbeat>> m_heldHeartbeats; // by agent: those that a frozen agent has not read yet
     std::vector<size_t> m_toReplace; // targets still to be replaced, the next one last
     std::vector<size_t> m_toRestart; // entries still to be restarted, the next one last
     std::map<uint16_t, Flow> m_flows;
--- a/libs/steering/flow_admission.cc
+++ b/libs/steering/flow_admission.cc
@@ -27,6 +27,8 @@
     case TargetState::Ready:
         break;
     }
+    if (registration.isContested())
+        return "another start of the target is announced"; // and may have taken over its address
     if (m_consecutiveSynTimeouts >= m_options.maxConsecutiveSynTimeouts)
         return "target does not answer"; // cleared by its next packet or heartbeat
     if (registration.heartbeatAge() > m_options.maxHeartbeatAge)
--- a/libs/steering/steering_schedule_test.cc
+++ b/libs/steering/steering_schedule_test.cc
@@ -29,6 +29,7 @@
     size_t lostAndReset = 0;
     size_t resetByTargets = 0;
     size_t passedOnAsEjected = 0;
+    size_t failed = 0; // schedules
     std::string failures;
 };
 
@@ -44,6 +45,7 @@
     for (uint64_t seed = first; seed < first + count; ++seed) {
         Fabric fabric(seed, options);
         std::string violation = fabric.run();
+        totals.failed += violation.empty() ? 0 : 1;
         if (!violation.empty())
             totals.failures += "seed " + std::to_string(seed) + ": " + violation + "\n";
         totals.opened += fabric.opened();
@@ -104,6 +106,25 @@
     CHECK(totals.delivered > 1000 * count);
 }
 
+// Also guards against heartbeats that are taken for a new start of a target that lives.
+TEST_CASE("open flows keep their targets under heartbeats of other writers and late ones", "[schedules]")
+{
+    FabricOptions options;
+    options.heartbeatFaults = true;
+    SECTION("few targets") { }
+    SECTION("12 targets whose processes fail too")
+    {
+        options.targets = { 5, 4, 3 };
+        options.processFaults = true;
+    }
+    uint64_t count = scheduleCount(500);
+    Totals totals = runSchedules(options, count);
+    INFO(totals.failed << " of " << count << " schedules failed\n" << totals.failures.substr(0, 2000));
+    CHECK(totals.failures.empty());
+    CHECK(totals.opened > 150 * count);
+    CHECK(totals.delivered > 1000 * count);
+}
+
 // Also guards against flows that an ejected member must not take back as the last resort, for example because its
 // target has begun to drain meanwhile, and against open flows that an ejection moves.
 TEST_CASE("open flows keep their targets while targets fail behind good heartbeats", "[schedules]")
--- a/libs/steering/target_flows.cc
+++ b/libs/steering/target_flows.cc
@@ -7,6 +7,7 @@
     // An acknowledgement matches a SYN-ACK when it is less than this above the initial sequence number. A target that
     // has sent more has sent packets after its SYN-ACK, which establish the flow on their own.
     constexpr uint32_t synAckWindowBytes = 1 << 16;
+    constexpr uint32_t answerWindowBytes = 1 << 16; // more than a target sends without an acknowledgement
 
     // Compares sequence numbers modulo 2^32.
     bool isAfter(uint32_t a, uint32_t b) { return static_cast<int32_t>(a - b) > 0; }
@@ -34,6 +35,11 @@
     return hasTargetIsn && packet.ack && packet.acknowledged - targetIsn < synAckWindowBytes;
 }
 
+bool TargetFlow::isAckOfAnswer(const FlowPacket& packet) const
+{
+    return packet.ack && answerEnd - packet.acknowledged < answerWindowBytes;
+}
+
 void TargetFlow::recordTargetAck(const FlowPacket& packet)
 {
     if (!packet.ack || (hasRequestEnd && !isAfter(packet.acknowledged, requestEnd)))
@@ -103,18 +109,12 @@
     flow.*end = true;
 }
 
-void TargetFlows::markTargetEnded()
+void TargetFlows::onNewStart()
 {
-    for (auto i = m_flows.begin(); i != m_flows.end();) {
-        TargetFlow& flow = i->second;
-        if (flow.established) {
-            flow.targetEnded = true;
-            flow.isRequestQueued = flow.isRequestInFlight = flow.isRequestUnanswered = false;
-            ++i;
-            continue;
-        }
-        m_closingCount -= flow.isClosing() ? 1 : 0;
-        m_flows.erase(i++);
+    for (auto& [id, flow] : m_flows) {
+        flow.mayHaveEnded = flow.mayHaveEnded || flow.established;
+        flow.established = flow.seenFromTarget = flow.hasTargetIsn = flow.synForwarded = false;
+        flow.isRequestQueued = flow.isRequestInFlight = flow.isRequestUnanswered = false;
     }
 }
 
--- a/libs/steering/target_flows.h
+++ b/libs/steering/target_flows.h
@@ -1,8 +1,8 @@
 // Flow table of an agent: the flows that this process has seen at its target. The table may lack flows; the target is
-// the authority on which flows it holds. The table tracks the state of each flow's request and the flows that ended
-// with an earlier start of the target.
+// the authority on which flows it holds. The table tracks the state of each flow's request and the flows that may have
+// ended with an earlier start of the target.
 //
-// Memory: about 150 bytes per flow, at most `maxFlows` flows. Cost: O(1) per packet, O(flows) for markTargetEnded() and
+// Memory: about 150 bytes per flow, at most `maxFlows` flows. Cost: O(1) per packet, O(flows) for onNewStart() and
 // expire().
 #pragma once
 
@@ -32,9 +32,11 @@
     bool isRequestUnanswered = false; // the newest request had no answer in time; the answer may still come
     bool callerClosed = false;
     bool targetClosed = false;
-    bool targetEnded = false; // the target has restarted or was replaced; it does not hold the flow
+    bool mayHaveEnded = false; // was established when another start of the target was registered
+    bool targetEnded = false; // the target has bounced a packet of the flow, which it held before
     uint32_t targetIsn = 0; // initial sequence number of the target, from its SYN-ACK
-    uint32_t answerEnd = 0; // sequence number after the newest data of the target; valid when seenFromTarget
+    uint32_t answerEnd
+        = 0; // sequence number after the newest data of the target; valid when established or mayHaveEnded
     uint32_t requestEnd = 0; // sequence number after the newest caller data that was seen or acknowledged
     Time requestForwarded; // time at which the newest request was forwarded
 
@@ -47,6 +49,9 @@
     bool isAckOfSynAck(const FlowPacket&) const;
     // Updates requestEnd from a packet of the target: it has received the caller's data up to the acknowledged number.
     void recordTargetAck(const FlowPacket&);
+    // True when the caller's packet acknowledges data of this target. Initial sequence numbers are random, so a packet
+    // of a later flow between the same ends does not.
+    bool isAckOfAnswer(const FlowPacket&) const;
     // Updates answerEnd from a packet of the target.
     void recordTargetData(const FlowPacket&);
     // True when the target's packet does not follow the target's data that was seen: it has overtaken other packets.
@@ -73,9 +78,9 @@
     void clear();
     // Sets `end`, which is &TargetFlow::callerClosed or &TargetFlow::targetClosed.
     void markClosed(TargetFlow&, bool TargetFlow::*end);
-    // Handles the end of the target: sets targetEnded for established flows and erases all others. A flow that is not
-    // established may be open at another target, since copies of its SYN may have reached several.
-    void markTargetEnded();
+    // Handles another start of the target. Only the target can tell which flows it holds, so none is erased. A flow
+    // that is not established may be open at another target, since copies of its SYN may have reached several.
+    void onNewStart();
     // Erases each flow that was idle for `idleLimit`, or for `closedRetention` when both ends have closed it or the
     // target never answered. Calls `onExpired` for each before it is erased.
     template <typename Ended> void expire(Time now, Duration idleLimit, Duration closedRetention, Ended onExpired);
--- a/libs/steering/target_registration.cc
+++ b/libs/steering/target_registration.cc
@@ -1,49 +1,179 @@
 #include "steering/target_registration.h"
 
+#include <algorithm>
+
 namespace cicadaward::steering {
 
 namespace {
 
     constexpr uint64_t firstSequence = 1;
+    constexpr int heartbeatsUntilGone = 4;
+    constexpr Duration maxTickInterval = std::chrono::milliseconds(150);
+    constexpr size_t maxClaims = 4;
+    constexpr size_t maxEndedStarts = 8;
 
 } // namespace
 
-HeartbeatResult TargetRegistration::onHeartbeat(const Heartbeat& heartbeat)
+TargetRegistration::TargetRegistration(const Clock& clock, Duration heartbeatTimeout)
+    : m_clock(clock)
+    , m_heartbeatTimeout(heartbeatTimeout)
+    , m_silenceLimit(heartbeatTimeout * 5 / (4 * heartbeatsUntilGone)) // one interval and a quarter
+    , m_lastTick(clock.now())
+{
+}
+
+HeartbeatResult TargetRegistration::onHeartbeat(const Heartbeat& heartbeat, Time arrived)
 {
-    bool isSameStart = m_lastHeartbeat && m_lastHeartbeat->id == heartbeat.id
-        && m_lastHeartbeat->startTimeMs == heartbeat.startTimeMs;
-    if (isSameStart && (heartbeat.sequence <= m_lastHeartbeat->sequence || m_departed))
+    countPause();
+    if (!m_lastHeartbeat) {
+        accept(heartbeat, arrived);
+        return HeartbeatResult::NewStart;
+    }
+    if (m_lastHeartbeat->isSameStart(heartbeat))
+        return onSameStart(heartbeat, arrived);
+    const EndedStart* ended = findEnded(heartbeat);
+    if (ended && ended->departed)
         return HeartbeatResult::Outdated;
-    // The target's clock may have been set back before it started, so an earlier start time is accepted once the
-    // registered target has departed or timed out.
-    if (m_lastHeartbeat && !isSameStart && heartbeat.startTimeMs < m_lastHeartbeat->startTimeMs && !hasEnded())
+    if ((!mayBeNewer(heartbeat) && !mayTakeEffect(heartbeat)) || !addClaim(heartbeat, arrived))
         return HeartbeatResult::Outdated;
+    return acceptStrongestClaim() ? HeartbeatResult::NewStart : HeartbeatResult::Claimed;
+}
 
-    HeartbeatResult result = HeartbeatResult::NewStart;
-    if (isSameStart) {
-        bool changed = hasEnded() || m_lastHeartbeat->draining != heartbeat.draining
-            || m_lastHeartbeat->service != heartbeat.service || m_lastHeartbeat->slots != heartbeat.slots;
-        result = changed ? HeartbeatResult::Changed : HeartbeatResult::Unchanged;
-    } else {
-        // An agent forwards flows only after a heartbeat, so no earlier process of this agent can have forwarded flows
-        // to a start whose first heartbeat arrives here.
-        m_hasSeenStart = heartbeat.sequence <= firstSequence;
-        m_departed = false;
-    }
+HeartbeatResult TargetRegistration::onSameStart(const Heartbeat& heartbeat, Time arrived)
+{
+    // A start does not change its service, so this one is from another writer.
+    bool isForeign = heartbeat.service != m_lastHeartbeat->service;
+    if (heartbeat.sequence <= m_lastHeartbeat->sequence || m_departed || isForeign)
+        return HeartbeatResult::Outdated;
+    bool changed = hasEnded() || m_isContested || m_lastHeartbeat->draining != heartbeat.draining
+        || m_lastHeartbeat->slots != heartbeat.slots;
     m_lastHeartbeat = heartbeat;
-    m_lastHeartbeatTime = m_clock.now();
+    m_lastHeartbeatTime = arrived;
     m_coldUntil = m_lastHeartbeatTime + heartbeat.warmUpLeft;
-    return result;
+    m_pausedBefore = m_paused;
+    m_claims.clear(); // the registered start lives
+    m_isContested = m_hasLostFlows = false;
+    return changed ? HeartbeatResult::Changed : HeartbeatResult::Unchanged;
 }
 
-bool TargetRegistration::onDeparture(const std::string& id)
+bool TargetRegistration::mayBeNewer(const Heartbeat& heartbeat) const
+{
+    return heartbeat.startTimeMs >= m_lastHeartbeat->startTimeMs && !findEnded(heartbeat);
+}
+
+// The target's clock may have been set back before it started, so an earlier start time is accepted too, but only after
+// the registered target has timed out.
+bool TargetRegistration::mayTakeEffect(const Heartbeat& heartbeat) const
+{
+    if (!mayBeNewer(heartbeat))
+        return silence() > m_heartbeatTimeout;
+    return m_departed || m_hasLostFlows || silence() > m_silenceLimit;
+}
+
+bool TargetRegistration::addClaim(const Heartbeat& heartbeat, Time arrived)
+{
+    Claim claim { heartbeat, arrived, m_paused };
+    auto found = std::find_if(
+        m_claims.begin(), m_claims.end(), [&](const Claim& known) { return known.heartbeat.isSameStart(heartbeat); });
+    if (found != m_claims.end()) {
+        if (heartbeat.sequence <= found->heartbeat.sequence)
+            return false;
+        claim.heartbeats = found->heartbeats + 1;
+        m_claims.erase(found);
+    } else if (m_claims.size() == maxClaims) {
+        m_claims.erase(m_claims.begin());
+    }
+    m_claims.push_back(claim);
+    m_isContested = true;
+    return true;
+}
+
+const TargetRegistration::Claim* TargetRegistration::strongestClaim() const
 {
-    if (!m_lastHeartbeat || m_lastHeartbeat->id != id || m_departed)
+    if (m_claims.empty())
+        return nullptr;
+    const Claim& newest = m_claims.back();
+    size_t stronger = std::count_if(
+        m_claims.begin(), m_claims.end(), [&](const Claim& claim) { return claim.heartbeats >= newest.heartbeats; });
+    return stronger == 1 ? &newest : nullptr;
+}
+
+bool TargetRegistration::acceptStrongestClaim()
+{
+    const Claim* claim = strongestClaim();
+    if (!claim || !mayTakeEffect(claim->heartbeat))
         return false;
-    m_departed = true;
+    Claim accepted = *claim;
+    accept(accepted.heartbeat, accepted.arrived);
     return true;
 }
 
+const TargetRegistration::EndedStart* TargetRegistration::findEnded(const Heartbeat& heartbeat) const
+{
+    auto found = std::find_if(m_ended.begin(), m_ended.end(), [&](const EndedStart& start) {
+        return start.id == heartbeat.id && start.startTimeMs == heartbeat.startTimeMs;
+    });
+    return found == m_ended.end() ? nullptr : &*found;
+}
+
+void TargetRegistration::accept(const Heartbeat& heartbeat, Time arrived)
+{
+    m_hasSeenEarlierStart = m_hasSeenStart && (m_earlierHasEnded || m_hasSeenEarlierStart);
+    m_earlierHasEnded = !m_lastHeartbeat || m_departed || m_hasLostFlows;
+    // An agent forwards flows only after a heartbeat, so no earlier process of this agent can have forwarded flows to a
+    // start whose first heartbeat arrives here.
+    m_hasSeenStart = heartbeat.sequence <= firstSequence;
+    if (m_lastHeartbeat)
+        addEnded(*m_lastHeartbeat, m_departed);
+    m_departed = m_isContested = m_hasLostFlows = false;
+    m_claims.clear();
+    m_lastHeartbeat = heartbeat;
+    m_lastHeartbeatTime = arrived;
+    m_coldUntil = arrived + heartbeat.warmUpLeft;
+    m_pausedBefore = m_paused;
+}
+
+void TargetRegistration::addEnded(const Heartbeat& start, bool departed)
+{
+    m_ended.push_back({ start.id, start.startTimeMs, departed });
+    if (m_ended.size() > maxEndedStarts)
+        m_ended.pop_front();
+}
+
+bool TargetRegistration::onDeparture(const std::string& id)
+{
+    bool endsRegistered = m_lastHeartbeat && m_lastHeartbeat->id == id && !m_departed;
+    bool endsClaim = false;
+    for (const Claim& claim : m_claims) {
+        if (claim.heartbeat.id != id)
+            continue;
+        endsClaim = true;
+        addEnded(claim.heartbeat, true);
+    }
+    m_claims.erase(
+        std::remove_if(m_claims.begin(), m_claims.end(), [&](const Claim& claim) { return claim.heartbeat.id == id; }),
+        m_claims.end());
+    if (endsRegistered) {
+        m_departed = true;
+        m_claims.clear(); // they arrived while the registered start lived
+    }
+    return endsClaim || endsRegistered;
+}
+
+bool TargetRegistration::onTick()
+{
+    countPause();
+    bool isNewStart = acceptStrongestClaim();
+    dropSilentClaims();
+    return isNewStart;
+}
+
+bool TargetRegistration::onFlowsLost()
+{
+    m_hasLostFlows = m_isContested;
+    return acceptStrongestClaim();
+}
+
 TargetState TargetRegistration::state() const
 {
     if (!m_lastHeartbeat)
@@ -55,4 +185,24 @@
     return m_lastHeartbeat->draining ? TargetState::Draining : TargetState::Ready;
 }
 
+void TargetRegistration::countPause()
+{
+    Time now = m_clock.now();
+    m_paused += std::max(Duration::zero(), now - m_lastTick - maxTickInterval);
+    m_lastTick = now;
+}
+
+Duration TargetRegistration::silenceSince(Time arrived, Duration pausedBefore) const
+{
+    return m_clock.now() - arrived - (m_paused - pausedBefore);
+}
+
+void TargetRegistration::dropSilentClaims()
+{
+    m_claims.erase(
+        std::remove_if(m_claims.begin(), m_claims.end(),
+            [&](const Claim& claim) { return silenceSince(claim.arrived, claim.pausedBefore) > m_silenceLimit; }),
+        m_claims.end());
+}
+
 } // namespace cicadaward::steering
