Show in log and metrics when a target is asked whether it holds a flow

An agent that started after its target gives packets of unknown flows to it. The decision 'tried' and its counter flow.tried now do. No change of behaviour.

--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -334,6 +334,8 @@
         if (packet.length > 0)
             flow->recordCallerData(packet);
     }
+    m_observer.onDecision(
+        Decision::Tried, packet.flow, { frame.entry, "started after its target", m_routes.version() });
     forwardToTarget(frame, packet.flow, data, size);
 }
 
--- a/libs/steering/decisions.cc
+++ b/libs/steering/decisions.cc
@@ -17,6 +17,8 @@
         return "searched";
     case Decision::Broadcast:
         return "broadcast";
+    case Decision::Tried:
+        return "tried";
     case Decision::Located:
         return "located";
     case Decision::Refused:
--- a/libs/steering/decisions.h
+++ b/libs/steering/decisions.h
@@ -15,6 +15,7 @@
     PassedOn, // an agent forwarded a packet to the next member
     Searched, // an entry started or continued a search for the agent of a flow
     Broadcast, // a search was not answered in time: all members are asked in parallel
+    Tried, // an agent gave a packet to its target without knowing whether the target holds the flow
     Located, // an agent told the entry that its target holds the flow
     Refused, // no member accepts the new flow
     Reset, // the flow is reset: its target has ended or no target holds it
