Open a store whose log takes more than half of the disk

Cause: Store::open() wrote the whole log again next to the old one. Once the log took more than half of the disk, a store that had failed once never opened again, although the disk had room, and each full disk cost the group an instance for good. The same held after any restart. A batch of many entries made one segment of any size.

Only the newest segment can lack a sync, since an earlier one was synced as a whole before the next was started. So open() writes only that one again, under its name, and a segment ends after 4 MB and one frame even within a batch.

The simulated group now writes to a Store on a MemoryFileSystem, and closes and opens it as the daemon does. New schedules: the disks of all instances are full, refuse, stall or are slow one after another, at 3, 4, 6 and 8 instances and one or two tolerated losses, half of them with all sizes at a thousandth of those in use.

--- a/libs/cluster/group_schedule_test.cc
+++ b/libs/cluster/group_schedule_test.cc
@@ -24,6 +24,7 @@
 }
 
 struct Totals {
+    std::atomic<uint64_t> diskFaults { 0 };
     std::atomic<uint64_t> acknowledged { 0 };
     std::atomic<uint64_t> members { 0 };
     std::atomic<uint64_t> reads { 0 };
@@ -46,27 +47,53 @@
     totals.failures += "seed " + std::to_string(seed) + ": " + simulation.violation() + "\n";
 }
 
-} // namespace
+// Bounds of the deployments: an instance catches up within 4 s, then a change is acknowledged within 5 s.
+void runDiskSchedule(uint64_t seed, Totals& totals)
+{
+    constexpr size_t groupSizes[] = { 3, 4, 6, 8 };
+    size_t instances = groupSizes[seed % 4];
+    GroupSimulation simulation(seed, instances, instances > 4 ? 1 + seed / 4 % 2 : 1, seed / 8 % 2 == 0);
+    simulation.runDiskFaults(9s);
+    totals.diskFaults += simulation.diskFaults();
+    totals.acknowledged += simulation.acknowledgedOrders();
+    totals.reads += simulation.answeredReads();
+    if (simulation.violation().empty())
+        return;
+    std::lock_guard<std::mutex> lock(totals.mutex);
+    totals.failures += "seed " + std::to_string(seed) + ": " + simulation.violation() + "\n";
+}
 
-TEST_CASE("control groups keep acknowledged writes under random faults", "[schedules]")
+using Schedule = void (*)(uint64_t seed, Totals&);
+
+// Returns the number of schedules that were run.
+uint64_t runSchedules(uint64_t schedules, Schedule run, Totals& totals)
 {
     constexpr uint64_t firstSeed = 1000;
     constexpr size_t threads = 4;
-    Totals totals;
     if (uint64_t seed = environmentNumber("CICADAWARD_SEED", 0)) {
-        runSchedule(seed, totals);
-    } else {
-        uint64_t schedules = environmentNumber("CICADAWARD_SCHEDULES", 20000);
-        std::atomic<uint64_t> next { 0 };
-        std::vector<std::thread> workers;
-        for (size_t i = 0; i < threads; ++i) {
-            workers.emplace_back([&] {
-                for (uint64_t number = next++; number < schedules; number = next++)
-                    runSchedule(firstSeed + number, totals);
-            });
-        }
-        for (std::thread& worker : workers)
-            worker.join();
+        run(seed, totals);
+        return 0;
+    }
+    schedules = environmentNumber("CICADAWARD_SCHEDULES", schedules);
+    std::atomic<uint64_t> next { 0 };
+    std::vector<std::thread> workers;
+    for (size_t i = 0; i < threads; ++i) {
+        workers.emplace_back([&] {
+            for (uint64_t number = next++; number < schedules; number = next++)
+                run(firstSeed + number, totals);
+        });
+    }
+    for (std::thread& worker : workers)
+        worker.join();
+    return schedules;
+}
+
+} // namespace
+
+TEST_CASE("control groups keep acknowledged writes under random faults", "[schedules]")
+{
+    Totals totals;
+    if (uint64_t schedules = runSchedules(20000, runSchedule, totals)) {
         // Guards against schedules in which the checked operations hardly occur.
         CHECK(totals.acknowledged > 10 * schedules);
         CHECK(totals.reads > 5 * schedules);
@@ -76,3 +103,15 @@
     INFO(totals.failures.substr(0, 2000));
     CHECK(totals.failures.empty());
 }
+
+TEST_CASE("control groups accept changes after disks were full one after another", "[disks]")
+{
+    Totals totals;
+    if (uint64_t schedules = runSchedules(400, runDiskSchedule, totals)) {
+        CHECK(totals.diskFaults > 3 * schedules);
+        CHECK(totals.acknowledged > 10 * schedules);
+        CHECK(totals.reads > 5 * schedules);
+    }
+    INFO(totals.failures.substr(0, 2000));
+    CHECK(totals.failures.empty());
+}
--- a/libs/cluster/group_simulation.cc
+++ b/libs/cluster/group_simulation.cc
@@ -10,6 +10,16 @@
 namespace {
 
     constexpr Duration stepLength = std::chrono::milliseconds(20);
+    constexpr Duration storeReopenInterval = std::chrono::milliseconds(500);
+    // A thousandth of the sizes in use, for small disks.
+    constexpr uint64_t segmentBytes = 4 << 10;
+    constexpr size_t maxFrameBytes = 2 << 10;
+    constexpr uint64_t diskBytes = 64 << 10;
+    constexpr size_t maxSmallMessageBytes = 64;
+    constexpr size_t maxSmallUncommittedBytes = 8 << 10;
+    constexpr LogIndex smallEntriesPerSnapshot = 36;
+    constexpr size_t minPadding = 700;
+    constexpr size_t maxPadding = 1700;
     // Long enough for the last requests to reach all instances before the final checks.
     constexpr Duration settleTime = std::chrono::seconds(1);
     constexpr uint32_t firstAddress = 0x0A000001;
@@ -21,7 +31,7 @@
 } // namespace
 
 // One process with its disk. A batch that is being written when the process crashes may be on the disk or not; after a
-// power loss it is not.
+// power loss it is not. As in the daemon, a write that fails ends the core, and the store is opened again at intervals.
 class GroupSimulation::Instance final : public ControlOutput {
 public:
     Instance(GroupSimulation& simulation, size_t index, InstanceId identity, ControlOptions options)
@@ -29,57 +39,78 @@
         , m_index(index)
         , m_options(std::move(options))
     {
-        m_disk.instance = identity;
+        emptyDisk(identity);
     }
 
     void bootstrap(const std::map<InstanceId, InstanceAddress>& initialVoters)
     {
-        writeToDisk(groupBootstrapBatch(initialVoters));
+        if (openStore())
+            writeToDisk(groupBootstrapBatch(initialVoters));
     }
     // The settings may name other seeds at a later start.
     void replaceSeeds(std::vector<Endpoint> seeds) { m_options.seeds = std::move(seeds); }
     void start()
     {
-        m_pending.clear();
+        m_running = true;
         m_frozen = false;
-        m_core = std::make_unique<ControlCore>(
-            m_options, m_simulation.m_clock, m_simulation.m_random, m_disk, static_cast<ControlOutput&>(*this));
+        startCore();
     }
     void crash(bool power)
     {
         for (Batch& batch : m_pending) {
-            if (power || m_simulation.m_random.below(2))
+            if (power || m_simulation.m_random.below(2) || !writeToDisk(batch.batch))
                 break;
-            writeToDisk(batch.batch);
         }
-        m_pending.clear();
-        m_core.reset();
+        endCore();
+        m_running = false;
+        if (power)
+            m_files->crash();
     }
     void wipe(InstanceId identity)
     {
         crash(true);
-        m_disk = StoreContents();
-        m_disk.instance = identity;
+        emptyDisk(identity);
     }
     void tick()
     {
-        if (!m_core || m_frozen)
+        Time now = m_simulation.m_clock.now();
+        if (!m_running || m_frozen)
             return;
-        while (!m_pending.empty() && m_pending.front().due <= m_simulation.m_clock.now()) {
+        if (!m_core && now >= m_nextOpenTime && now >= m_stallEnd)
+            startCore();
+        while (!m_pending.empty() && std::max(m_pending.front().due, m_stallEnd) <= now) {
             Batch batch = std::move(m_pending.front());
             m_pending.erase(m_pending.begin());
-            writeToDisk(batch.batch);
+            if (!writeToDisk(batch.batch)) {
+                endCore();
+                m_simulation.refuseRequests(m_index);
+                return;
+            }
             m_core->onPersisted(batch.batchNumber);
         }
-        m_core->onTick();
+        if (m_core)
+            m_core->onTick();
     }
 
-    bool isUp() const { return m_core != nullptr; }
+    bool isRunning() const { return m_running; }
+    bool isUp() const { return m_core != nullptr; } // runs, and its store works
     bool isFrozen() const { return m_frozen; }
     void setFrozen(bool frozen) { m_frozen = frozen; }
     void setDiskDelay(Duration delay) { m_diskDelay = delay; }
+    void setCapacity(uint64_t bytes)
+    {
+        m_capacity = bytes;
+        endDiskFault();
+    }
+    void endDiskFault()
+    {
+        m_files->faults() = MemoryFileSystem::Faults();
+        m_files->faults().capacity = m_capacity;
+    }
+    void stallDisk(Time end) { m_stallEnd = end; } // no write is answered before `end`
+    MemoryFileSystem& files() { return *m_files; }
     ControlCore* core() { return m_core.get(); }
-    InstanceId identity() const { return m_disk.instance; }
+    InstanceId identity() const { return m_identity; }
 
     void sendMessage(Endpoint to, const Envelope& envelope) override { m_simulation.send(m_index, to, envelope); }
     void persist(uint64_t batchNumber, const StoreBatch& batch) override
@@ -97,32 +128,64 @@
         StoreBatch batch;
     };
 
-    void writeToDisk(const StoreBatch& batch)
+    void emptyDisk(InstanceId identity)
     {
-        if (batch.state)
-            m_disk.state = *batch.state;
-        if (batch.snapshot) {
-            m_disk.snapshot = *batch.snapshot;
-            m_disk.entries.clear();
-        }
-        for (const LogEntry& entry : batch.entries) {
-            while (!m_disk.entries.empty() && m_disk.entries.back().index >= entry.index)
-                m_disk.entries.pop_back();
-            m_disk.entries.push_back(entry);
-        }
+        m_identity = identity;
+        m_wasOpened = false;
+        m_files = std::make_unique<MemoryFileSystem>(m_simulation.m_random.next());
+    }
+    bool openStore()
+    {
+        m_store.reset(); // releases the folder's lock
+        StoreOptions options;
+        options.segmentBytes = segmentBytes;
+        options.maxFrameBytes = maxFrameBytes;
+        options.instanceId = m_wasOpened ? InstanceId() : m_identity;
+        absl::StatusOr<std::unique_ptr<Store>> store = Store::open(*m_files, "data", m_simulation.m_random, options);
+        if (store.status().code() == absl::StatusCode::kDataLoss)
+            m_simulation.fail("a store reports damage: " + std::string(store.status().message()));
+        if (!store.ok())
+            return false;
+        if ((*store)->instance() != m_identity)
+            m_simulation.fail("a store comes back under another identity");
+        m_store = std::move(*store);
+        m_wasOpened = true;
+        return true;
+    }
+    void startCore()
+    {
+        endCore();
+        if (openStore())
+            m_core = std::make_unique<ControlCore>(m_options, m_simulation.m_clock, m_simulation.m_random,
+                m_store->takeContents(), static_cast<ControlOutput&>(*this));
     }
+    void endCore()
+    {
+        m_core.reset();
+        m_store.reset();
+        m_pending.clear();
+        m_nextOpenTime = m_simulation.m_clock.now() + storeReopenInterval;
+    }
+    bool writeToDisk(const StoreBatch& batch) { return m_store->write(batch).ok(); }
 
     GroupSimulation& m_simulation;
     const size_t m_index;
     ControlOptions m_options;
-    StoreContents m_disk;
+    InstanceId m_identity;
+    bool m_wasOpened = false; // the disk holds the identity
+    std::unique_ptr<MemoryFileSystem> m_files;
+    std::unique_ptr<Store> m_store; // null while it has failed
     std::vector<Batch> m_pending;
+    std::optional<uint64_t> m_capacity;
     Duration m_diskDelay = std::chrono::milliseconds(5);
+    Time m_stallEnd;
+    Time m_nextOpenTime;
     std::unique_ptr<ControlCore> m_core;
+    bool m_running = false;
     bool m_frozen = false;
 };
 
-GroupSimulation::GroupSimulation(uint64_t seed, size_t instances)
+GroupSimulation::GroupSimulation(uint64_t seed, size_t instances, size_t toleratedLosses, bool hasSmallDisks)
     : m_random(seed)
 {
     constexpr size_t initialVoterCount = 3;
@@ -132,7 +195,14 @@
     options.consensus.heartbeatInterval = std::chrono::milliseconds(50);
     options.consensus.promoteLearners = false;
     options.consensus.leaseReads = false;
+    options.group.toleratedLosses = toleratedLosses;
     options.entriesPerSnapshot = 8 + m_random.below(30);
+    if (hasSmallDisks) {
+        options.entriesPerSnapshot = smallEntriesPerSnapshot;
+        options.consensus.maxMessageBytes = maxSmallMessageBytes;
+        options.consensus.maxUncommittedBytes = maxSmallUncommittedBytes;
+        options.consensus.retainedEntries = options.entriesPerSnapshot;
+    }
     std::map<InstanceId, InstanceAddress> group;
     for (size_t i = 0; i < initialVoterCount; ++i) {
         options.seeds.push_back(endpointOf(i));
@@ -145,6 +215,8 @@
         if (i < initialVoterCount)
             m_instances.back()->bootstrap(group);
         m_instances.back()->start();
+        if (hasSmallDisks)
+            m_instances.back()->setCapacity(diskBytes);
     }
     m_partitionSide.resize(instances);
     for (uint32_t i = 0; i < memberCount; ++i) {
@@ -217,12 +289,85 @@
         checkEnd();
 }
 
+void GroupSimulation::runDiskFaults(Duration ackBound)
+{
+    m_hasLargeChanges = true;
+    runFor(m_random.below(2) == 0 ? std::chrono::seconds(3) : std::chrono::seconds(8));
+    std::vector<size_t> order;
+    for (size_t i = 0; i < m_instances.size(); ++i)
+        order.insert(order.begin() + static_cast<std::ptrdiff_t>(m_random.below(i + 1)), i);
+    for (size_t index : order) {
+        Instance& instance = *m_instances[index];
+        Duration length = std::chrono::milliseconds(500 + m_random.below(4000));
+        beginDiskFault(instance, m_clock.now() + length);
+        runFor(length);
+        instance.endDiskFault();
+        instance.setDiskDelay(std::chrono::milliseconds(5));
+        if (m_random.below(4) == 0) {
+            Instance& other = *m_instances[m_random.below(m_instances.size())];
+            m_random.below(2) == 0 ? other.crash(m_random.below(2) == 0) : other.setFrozen(true);
+            runFor(std::chrono::milliseconds(m_random.below(2000)));
+            repair();
+        }
+        runFor(std::chrono::milliseconds(m_random.below(3000)));
+    }
+    uint64_t acknowledged = m_acknowledged;
+    uint64_t reads = m_reads;
+    runFor(ackBound);
+    if (m_acknowledged == acknowledged || m_reads == reads)
+        fail("no change or read was answered after the last fault");
+    m_submitsRequests = false;
+    runFor(settleTime);
+    if (m_violation.empty())
+        checkEnd();
+}
+
+void GroupSimulation::runFor(Duration duration)
+{
+    for (Time end = m_clock.now() + duration; m_clock.now() < end && m_violation.empty();)
+        step(false);
+}
+
+void GroupSimulation::beginDiskFault(Instance& instance, Time end)
+{
+    MemoryFileSystem::Faults& faults = instance.files().faults();
+    ++m_diskFaults;
+    switch (m_random.below(6)) {
+    case 0:
+        instance.stallDisk(end);
+        break;
+    case 1:
+        instance.setDiskDelay(std::chrono::milliseconds(100 + m_random.below(900)));
+        break;
+    case 2:
+        faults.syncFailure = 1;
+        break;
+    case 3: // each write is refused after a part of it
+        faults.capacity = instance.files().usedBytes() + m_random.below(2000);
+        break;
+    default:
+        faults.capacity = 0;
+        faults.refusesNames = m_random.below(2) == 0;
+    }
+}
+
+void GroupSimulation::refuseRequests(size_t index)
+{
+    std::vector<RequestNumber> refused;
+    for (const auto& [request, pending] : m_pendingRequests) {
+        if (pending.instance == index)
+            refused.push_back(request);
+    }
+    for (RequestNumber request : refused)
+        onAnswer(request, Answer());
+}
+
 void GroupSimulation::step(bool withFaults)
 {
     m_clock.advance(stepLength);
     if (withFaults && m_random.below(15) == 0)
         injectFault();
-    if (m_submitsRequests && m_random.below(5) == 0)
+    if (m_submitsRequests && m_random.below(m_hasLargeChanges ? 2 : 5) == 0)
         submitRequest();
     if (m_submitsRequests && m_random.below(4) == 0)
         announce(withFaults);
@@ -291,16 +436,16 @@
     }
     case 0:
     case 1:
-        if (instance.isUp())
+        if (instance.isRunning())
             instance.crash(m_random.below(2) == 0);
         break;
     case 2:
     case 3:
-        if (!instance.isUp())
+        if (!instance.isRunning())
             instance.start();
         break;
     case 4:
-        instance.setFrozen(instance.isUp() && !instance.isFrozen());
+        instance.setFrozen(instance.isRunning() && !instance.isFrozen());
         break;
     case 5:
         m_partitioned = !m_partitioned;
@@ -335,18 +480,24 @@
     for (auto& instance : m_instances) {
         instance->setFrozen(false);
         instance->setDiskDelay(std::chrono::milliseconds(5));
-        if (!instance->isUp())
+        if (!instance->isRunning())
             instance->start();
     }
 }
 
 void GroupSimulation::submitRequest()
 {
-    Instance& instance = *m_instances[m_random.below(m_instances.size())];
+    size_t index = m_random.below(m_instances.size());
+    for (size_t i = 0; m_hasLargeChanges && i < m_instances.size(); ++i) {
+        if (m_instances[i]->isUp() && m_instances[i]->core()->status().canRead)
+            index = i;
+    }
+    Instance& instance = *m_instances[index];
     if (!instance.isUp() || instance.isFrozen())
         return;
     RequestNumber request = ++m_lastRequest;
     PendingRequest& pending = m_pendingRequests[request];
+    pending.instance = index;
     uint64_t kind = m_random.below(10);
     if (kind < 4) {
         pending.minVersion = m_acknowledgedVersion;
@@ -357,7 +508,11 @@
         if (m_random.below(6) == 0 && pending.version > 2)
             pending.version -= 2;
         m_lastVersion = std::max(m_lastVersion, pending.version);
-        pending.text = compress(std::to_string(pending.version) + "/" + std::to_string(request));
+        std::string text = std::to_string(pending.version) + "/" + std::to_string(request) + "/";
+        for (uint64_t size = m_hasLargeChanges ? minPadding + m_random.below(maxPadding - minPadding) : 0; size > 0;
+             --size)
+            text += static_cast<char>(m_random.below(256));
+        pending.text = compress(text);
         steering::Configuration configuration;
         configuration.version = pending.version;
         instance.core()->putConfiguration(request, configuration, pending.text);
@@ -451,7 +606,7 @@
     if (answer.kind != AnswerKind::Configuration)
         return;
     ++m_reads;
-    std::string text = decompress(answer.compressedText, 1000).value_or("");
+    std::string text = decompress(answer.compressedText, 2 * maxPadding).value_or("");
     uint64_t version = text.empty() ? 0 : std::stoull(text);
     if (version < pending.minVersion)
         fail("a read gave version " + std::to_string(version) + " after " + std::to_string(pending.minVersion)
@@ -479,6 +634,10 @@
 void GroupSimulation::checkEnd()
 {
     for (auto& instance : m_instances) {
+        if (!instance->isUp()) {
+            fail("a store does not work at the end");
+            return;
+        }
         const State& state = instance->core()->state();
         if (state.routes().version() < m_acknowledgedVersion)
             fail("an instance ends with version " + std::to_string(state.routes().version()) + " below "
--- a/libs/cluster/group_simulation.h
+++ b/libs/cluster/group_simulation.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "cluster/control_core.h"
+#include "store/memory_file_system.h"
+#include "store/store.h"
 
 #include <map>
 #include <memory>
@@ -14,16 +16,21 @@
 
 class GroupSimulation {
 public:
-    GroupSimulation(uint64_t seed, size_t instances);
+    // Small disks and all sizes are a thousandth of those in use, so that the log takes up to two thirds of a disk.
+    GroupSimulation(uint64_t seed, size_t instances, size_t toleratedLosses = 1, bool hasSmallDisks = false);
     ~GroupSimulation();
 
     // Runs random faults and requests for `faultDuration`, then repairs all faults and runs for `recoveryDuration`.
     void run(Duration faultDuration, Duration recoveryDuration);
+    // The disks of all instances are full, refuse, stall or are slow for a few seconds, one after another and never two
+    // at once, while changes go on. Within `ackBound` after the last fault a change and a read must be answered.
+    void runDiskFaults(Duration ackBound);
     // The first failed check; empty when all checks passed.
     const std::string& violation() const { return m_violation; }
     uint64_t acknowledgedOrders() const { return m_acknowledged; }
     uint64_t answeredReads() const { return m_reads; }
     uint64_t lostDisks() const { return m_lostDisks; }
+    uint64_t diskFaults() const { return m_diskFaults; }
     uint64_t confirmedMembers() const { return m_confirmedMembers; }
 
 private:
@@ -35,6 +42,7 @@
         Envelope envelope;
     };
     struct PendingRequest {
+        size_t instance = 0; // that was asked
         uint64_t version = 0; // of a configuration
         std::string text;
         std::optional<bool> isEvacuated; // requested by an evacuation
@@ -48,7 +56,10 @@
     };
 
     void step(bool withFaults);
+    void runFor(Duration);
     void injectFault();
+    void beginDiskFault(Instance&, Time end);
+    void refuseRequests(size_t index);
     void submitRequest();
     void announce(bool mayChange);
     void onPollReply(SimulatedMember& polled, const Envelope&);
@@ -88,6 +99,8 @@
     uint64_t m_lastConfirmation = 0;
     uint64_t m_confirmedMembers = 0;
     uint64_t m_lostDisks = 0;
+    uint64_t m_diskFaults = 0;
+    bool m_hasLargeChanges = false;
     bool m_isRecoveringDisk = false;
     bool m_submitsRequests = true;
     std::string m_violation;
--- a/libs/store/memory_file_system.cc
+++ b/libs/store/memory_file_system.cc
@@ -8,6 +8,8 @@
 
     constexpr size_t sectorSize = 512;
 
+    absl::Status noSpaceError() { return absl::ResourceExhaustedError("no space left on device"); }
+
 } // namespace
 
 struct MemoryFileSystem::MemoryAppendFile final : AppendFile {
@@ -55,13 +57,11 @@
 {
     if (absl::Status status = beginOperation("append"); !status.ok())
         return status;
-    uint64_t used = 0;
-    for (const auto& [name, file] : m_nodes)
-        used += file->current.size();
+    uint64_t used = usedBytes();
     if (m_faults.capacity && used + bytes.size() > *m_faults.capacity) {
         uint64_t freeBytes = *m_faults.capacity > used ? *m_faults.capacity - used : 0;
         node.current.append(bytes, 0, freeBytes);
-        return absl::ResourceExhaustedError("no space left on device");
+        return noSpaceError();
     }
     if (m_random.unit() < m_faults.shortWrite) {
         node.current.append(bytes, 0, m_random.below(bytes.size() + 1));
@@ -71,6 +71,14 @@
     return absl::OkStatus();
 }
 
+uint64_t MemoryFileSystem::usedBytes() const
+{
+    uint64_t used = 0;
+    for (const auto& [name, file] : m_nodes)
+        used += file->current.size();
+    return used;
+}
+
 absl::Status MemoryFileSystem::sync(Node& node)
 {
     if (absl::Status status = beginOperation("fsync"); !status.ok())
@@ -160,6 +168,8 @@
     if (found == m_nodes.end()) {
         if (absl::Status status = beginOperation(path); !status.ok())
             return status;
+        if (m_faults.refusesNames)
+            return noSpaceError();
         auto node = std::make_shared<Node>();
         change([path, node](NodesByPath& names) { names[path] = node; });
         found = m_nodes.find(path);
@@ -171,6 +181,8 @@
 {
     if (absl::Status status = beginOperation(from); !status.ok())
         return status;
+    if (m_faults.refusesNames)
+        return noSpaceError();
     auto found = m_nodes.find(from);
     if (found == m_nodes.end())
         return absl::NotFoundError(from);
--- a/libs/store/memory_file_system.h
+++ b/libs/store/memory_file_system.h
@@ -25,6 +25,7 @@
         double syncFailure = 0;
         double shortWrite = 0;
         std::optional<uint64_t> capacity; // bytes in all files; appends beyond it fail
+        bool refusesNames = false; // no file can be created or renamed, as on a full disk
     };
 
     explicit MemoryFileSystem(uint64_t seed)
@@ -33,6 +34,7 @@
     }
 
     Faults& faults() { return m_faults; }
+    uint64_t usedBytes() const;
     // Simulates a power failure. What remains is the durable state plus a random part of what was not synced: any
     // subset of the sectors of appended bytes, and a prefix of the directory changes. Open files must be closed before.
     void crash();
--- a/libs/store/store.cc
+++ b/libs/store/store.cc
@@ -84,13 +84,17 @@
     if (absl::Status status = loadSegments(); !status.ok())
         return status;
     m_contents.instance = m_instance;
-    if (absl::Status status = trimLogToSnapshot(); !status.ok())
-        return status;
-    // The log is always rewritten to a new segment. The old files may exist in the page cache only, because after a
-    // failed fsync the kernel reports no second error. The rewrite also removes a torn tail and the remains of an older
-    // log.
-    if (absl::Status status = startSegment({ m_contents.state, {}, m_contents.entries }, true); !status.ok())
-        return status;
+    absl::StatusOr<bool> trimmed = trimLogToSnapshot();
+    if (!trimmed.ok())
+        return trimmed.status();
+    // The newest segment is always rewritten. It may exist in the page cache only, because after a failed fsync the
+    // kernel reports no second error; each earlier one was synced as a whole before the next was started. The rewrite
+    // also removes a torn tail. It needs space for one segment, since a log of more than half of the disk must open
+    // too.
+    absl::Status rewritten
+        = *trimmed ? startSegment({ m_contents.state, {}, m_contents.entries }, true) : rewriteNewestSegment();
+    if (!rewritten.ok())
+        return rewritten;
     if (absl::Status status = removeObsoleteFiles(); !status.ok())
         return status;
     return m_files.syncDirectory(m_folder);
@@ -149,6 +153,8 @@
                 return status;
         }
         m_nextSequence += scans.back().payloads.size();
+        if (scans.size() == 1)
+            m_newestSegment = std::move(scans.back());
     }
     return absl::OkStatus();
 }
@@ -183,24 +189,24 @@
 
 // A crash after the rename of a snapshot, but before the start of its segment, leaves an older log. Entries after the
 // snapshot are kept only if the log contains the snapshot's last entry with the same term, as in InstallSnapshot of
-// Raft.
-absl::Status Store::trimLogToSnapshot()
+// Raft. Returns whether the log was older.
+absl::StatusOr<bool> Store::trimLogToSnapshot()
 {
     const LogSnapshot& snapshot = m_contents.snapshot;
     std::vector<LogEntry>& log = m_contents.entries;
     if (log.empty())
-        return absl::OkStatus();
+        return false;
     if (log.front().index > snapshot.index + 1)
         return dataLossError(
             path(m_segmentNames.back()), "entries before " + std::to_string(log.front().index) + " are missing");
     if (log.front().index == snapshot.index + 1)
-        return absl::OkStatus();
+        return false;
     size_t position = snapshot.index - log.front().index;
     if (position >= log.size() || log[position].term != snapshot.term)
         log.clear();
     else
         log.erase(log.begin(), log.begin() + static_cast<std::ptrdiff_t>(position) + 1);
-    return absl::OkStatus();
+    return true;
 }
 
 // Removes the oldest segment first, so that an interruption never leaves a gap in the sequence.
@@ -260,11 +266,12 @@
 
 absl::Status Store::appendBatch(const StoreBatch& batch)
 {
-    if (m_segmentSize >= m_options.segmentBytes) {
-        if (absl::Status status = startSegment({}, false); !status.ok())
-            return status;
-    }
-    for (const std::string& frame : encodeFrames(m_header, batch, false)) {
+    for (const std::string& payload : encodePayloads(batch, false)) {
+        if (m_segmentSize >= m_options.segmentBytes) {
+            if (absl::Status status = startSegment({}, false); !status.ok())
+                return status;
+        }
+        std::string frame = encodeFrame(m_header, m_nextSequence++, payload);
         if (absl::Status status = m_segment->append(frame); !status.ok())
             return status;
         // Each frame must be synced before the next one is written; scanFile() relies on it.
@@ -275,22 +282,22 @@
     return absl::OkStatus();
 }
 
-std::vector<std::string> Store::encodeFrames(const detail::FileHeader& header, const StoreBatch& batch, bool reset)
+std::vector<std::string> Store::encodePayloads(const StoreBatch& batch, bool reset) const
 {
-    std::vector<std::string> frames;
+    std::vector<std::string> payloads;
     detail::BatchFrame frame { reset, batch.state.has_value(), batch.state.value_or(HardState {}), {} };
     size_t bytes = 0;
     for (const LogEntry& entry : batch.entries) {
         if (!frame.entries.empty() && bytes + entry.data.size() > m_options.maxFrameBytes) {
-            frames.push_back(encodeFrame(header, m_nextSequence++, encodeMessage(frame)));
+            payloads.push_back(encodeMessage(frame));
             frame = {};
             bytes = 0;
         }
         bytes += entry.data.size();
         frame.entries.push_back(entry);
     }
-    frames.push_back(encodeFrame(header, m_nextSequence++, encodeMessage(frame)));
-    return frames;
+    payloads.push_back(encodeMessage(frame));
+    return payloads;
 }
 
 absl::Status Store::writeSnapshot(const LogSnapshot& snapshot)
@@ -313,9 +320,35 @@
     std::string name = numberedName(segmentPrefix, m_nextSequence);
     std::string bytes = encodeFileHeader(header);
     if (reset) {
-        for (const std::string& frame : encodeFrames(header, checkpoint, true))
-            bytes += frame;
+        for (const std::string& payload : encodePayloads(checkpoint, true))
+            bytes += encodeFrame(header, m_nextSequence++, payload);
     }
+    if (absl::Status status = writeSegment(name, header, bytes); !status.ok())
+        return status;
+    // If the newest segment has no frame yet, the new one has the same name and has replaced it.
+    if (m_segmentNames.empty() || m_segmentNames.back() != name)
+        m_segmentNames.push_back(name);
+    if (reset)
+        m_resetSegment = name;
+    return absl::OkStatus();
+}
+
+// The new file has the same frames and replaces the old one under its name.
+absl::Status Store::rewriteNewestSegment()
+{
+    detail::FileHeader header = m_newestSegment.header;
+    header.salt = m_random.next();
+    std::string bytes = encodeFileHeader(header);
+    uint64_t sequence = header.firstSequence;
+    for (const std::string& payload : m_newestSegment.payloads)
+        bytes += encodeFrame(header, sequence++, payload);
+    m_newestSegment = {};
+    return writeSegment(m_segmentNames.back(), header, bytes);
+}
+
+// Later batches are appended to this segment.
+absl::Status Store::writeSegment(const std::string& name, const detail::FileHeader& header, const std::string& bytes)
+{
     if (absl::Status status = writeFileAtomically(name, bytes); !status.ok())
         return status;
     absl::StatusOr<std::unique_ptr<AppendFile>> file = m_files.openForAppend(path(name));
@@ -324,11 +357,6 @@
     m_segment = std::move(*file);
     m_header = header;
     m_segmentSize = bytes.size();
-    // If the newest segment has no frame yet, the new one has the same name and has replaced it.
-    if (m_segmentNames.empty() || m_segmentNames.back() != name)
-        m_segmentNames.push_back(name);
-    if (reset)
-        m_resetSegment = name;
     return absl::OkStatus();
 }
 
--- a/libs/store/store.h
+++ b/libs/store/store.h
@@ -23,7 +23,7 @@
 namespace cicadaward {
 
 struct StoreOptions {
-    uint64_t segmentBytes = 16 << 20; // a new segment is started when the current one reaches this size
+    uint64_t segmentBytes = 4 << 20; // a new segment is started when the current one reaches this size
     size_t maxEntryBytes = 1 << 20; // data of one entry
     size_t maxFrameBytes
         = 2 << 20; // data of the entries in one frame; a larger batch takes several frames, each with its own fsync
@@ -33,9 +33,10 @@
 
 class Store {
 public:
-    // Creates the folder if it is missing, locks it, reads all files, drops a torn tail, and writes the log to a new
-    // segment. Returns DataLoss with file and offset for corrupt files, FailedPrecondition if the folder is locked.
-    // `random` draws the instance id of a new folder, so its seed must come from the system's entropy.
+    // Creates the folder if it is missing, locks it, reads all files, drops a torn tail, and writes the newest segment
+    // again, so it needs space for one segment. Returns DataLoss with file and offset for corrupt files,
+    // FailedPrecondition if the folder is locked. `random` draws the instance id of a new folder, so its seed must come
+    // from the system's entropy.
     static absl::StatusOr<std::unique_ptr<Store>> open(
         FileSystem& files, std::string folder, Random& random, StoreOptions options = {});
 
@@ -60,14 +61,16 @@
     absl::Status loadSegments();
     absl::StatusOr<detail::FileScan> readSegment(const std::string& name);
     absl::Status replayFrame(const std::string& name, const std::string& payload);
-    absl::Status trimLogToSnapshot();
+    absl::StatusOr<bool> trimLogToSnapshot();
     absl::Status removeObsoleteFiles();
     absl::Status validateBatch(const StoreBatch& batch) const;
     absl::Status appendBatch(const StoreBatch& batch);
     absl::Status writeSnapshot(const LogSnapshot& snapshot);
     absl::Status startSegment(const StoreBatch& checkpoint, bool reset);
+    absl::Status rewriteNewestSegment();
+    absl::Status writeSegment(const std::string& name, const detail::FileHeader&, const std::string& bytes);
     absl::Status writeFileAtomically(const std::string& name, const std::string& bytes);
-    std::vector<std::string> encodeFrames(const detail::FileHeader& header, const StoreBatch& batch, bool reset);
+    std::vector<std::string> encodePayloads(const StoreBatch& batch, bool reset) const;
 
     FileSystem& m_files;
     std::string m_folder;
@@ -82,6 +85,7 @@
     std::string m_snapshotName; // empty if there is none
     std::string m_resetSegment; // newest segment that starts with a reset frame; all earlier segments are obsolete
     InstanceId m_instance;
+    detail::FileScan m_newestSegment; // while the store is opened
     StoreContents m_contents;
     absl::Status m_failure;
 };
--- a/libs/store/store_test.cc
+++ b/libs/store/store_test.cc
@@ -237,16 +237,51 @@
         INFO("seed " << seed);
         MemoryFileSystem files(seed);
         Random random(seed);
+        LogIndex earlier = seed % 8; // of several segments
         {
-            auto store = Store::open(files, "data", random);
+            auto store = Store::open(files, "data", random, smallOptions());
             REQUIRE(store.ok());
+            for (LogIndex i = 1; i <= earlier; ++i)
+                REQUIRE((*store)->write({ {}, {}, { makeEntry(i, 1, 900) } }).ok());
             files.faults().syncFailure = 1;
-            CHECK(!(*store)->write({ {}, {}, { makeEntry(1, 1, 2000) } }).ok());
+            CHECK(!(*store)->write({ {}, {}, { makeEntry(earlier + 1, 1, 2000) } }).ok());
             files.faults() = {};
         }
-        size_t found = Store::open(files, "data", random).value()->takeContents().entries.size();
+        size_t found = Store::open(files, "data", random, smallOptions()).value()->takeContents().entries.size();
         files.crash();
-        REQUIRE(Store::open(files, "data", random).value()->takeContents().entries.size() == found);
+        REQUIRE(Store::open(files, "data", random, smallOptions()).value()->takeContents().entries.size() == found);
+        REQUIRE(found >= earlier);
+    }
+}
+
+TEST_CASE("A store whose log takes most of the disk opens again after the disk was full")
+{
+    constexpr uint64_t diskBytes = 20'000;
+    for (uint64_t room : { 0, 100, 1000 }) { // that is left when the disk is full: a part of a write, or nothing
+        INFO("room " << room);
+        MemoryFileSystem files(2);
+        Random random(2);
+        LogIndex last = 0;
+        for (int round = 0; round < 4; ++round) {
+            files.faults().capacity = diskBytes;
+            auto store = Store::open(files, "data", random, smallOptions());
+            INFO("round " << round << ": " << store.status());
+            REQUIRE(store.ok());
+            CHECK((*store)->takeContents().entries.size() >= last);
+            while (files.usedBytes() < diskBytes * 2 / 3) {
+                ++last;
+                REQUIRE(
+                    (*store)->write({ HardState { Term(1), InstanceId(1) }, {}, { makeEntry(last, 1, 900) } }).ok());
+            }
+            files.faults().capacity = files.usedBytes() + room;
+            while ((*store)->failure().ok())
+                (void)(*store)->write({ {}, {}, { makeEntry(last + 1, 1, 900) } });
+            files.faults().refusesNames = true;
+            store->reset();
+            CHECK(Store::open(files, "data", random, smallOptions()).status().code()
+                == absl::StatusCode::kResourceExhausted);
+            files.faults().refusesNames = false;
+        }
     }
 }
 
