Show for how long a store has failed and what a group waits for

An operator could not tell from the metrics since when an instance's disk refuses writes, nor how many voters answer the leader; the event 507 said that the process stops, which the control instance of the fabric does not. New gauges: store.failed-ms, raft.voters, raft.active-voters, raft.uncommitted. raft.leads falls to 0 when the store fails; it kept its last value before.

--- a/daemons/flow_control_daemon.cc
+++ b/daemons/flow_control_daemon.cc
@@ -92,9 +92,11 @@
     m_nextOpenTime = m_base.clock.now() + storeReopenInterval;
     absl::StatusOr<StoreContents> contents = m_disk.open(founderIdentity());
     if (!contents.ok()) {
+        m_storeFailedSince = m_storeFailedSince.value_or(m_base.clock.now());
         m_base.log->write(EventId::StoreFailed, { { "reason", std::string(contents.status().message()) } });
         return false;
     }
+    m_storeFailedSince.reset();
     m_pendingWrites.clear();
     StoreBatch founding;
     bool isFounder = contents->empty() && founderIdentity() != InstanceId();
@@ -120,6 +122,7 @@
 {
     m_base.log->write(EventId::StoreFailed, { { "reason", std::string(status.message()) } });
     m_storeFailed = true;
+    m_storeFailedSince = m_storeFailedSince.value_or(m_base.clock.now());
 }
 
 void FlowControlDaemon::onTick()
@@ -152,13 +155,22 @@
 void FlowControlDaemon::updateGauges()
 {
     m_base.metrics.gauge("store.works").set(m_core != nullptr);
+    Duration failed = m_base.clock.now() - m_storeFailedSince.value_or(m_base.clock.now());
+    m_base.metrics.gauge("store.failed-ms").set(std::chrono::duration_cast<std::chrono::milliseconds>(failed).count());
     m_base.metrics.gauge("store.writing").set(int64_t(m_pendingWrites.size()));
     m_base.metrics.gauge("control.open-calls").set(int64_t(m_calls.size()));
+    raft::RaftStatus status = m_core ? m_core->status() : raft::RaftStatus();
+    auto countVoters = [&](bool onlyActive) {
+        return std::count_if(status.instances.begin(), status.instances.end(),
+            [&](const raft::InstanceStatus& i) { return i.isVoter && (i.isActive || !onlyActive); });
+    };
+    m_base.metrics.gauge("raft.voters").set(countVoters(false));
+    m_base.metrics.gauge("raft.active-voters").set(countVoters(true));
+    m_base.metrics.gauge("raft.uncommitted").set(int64_t(status.lastIndex - status.commitIndex));
+    m_base.metrics.gauge("raft.leads").set(status.role == raft::RaftRole::Leader);
     if (!m_core)
         return;
-    raft::RaftStatus status = m_core->status();
     m_base.metrics.gauge("raft.term").set(int64_t(status.term.value()));
-    m_base.metrics.gauge("raft.leads").set(status.role == raft::RaftRole::Leader);
     m_base.metrics.gauge("raft.commit").set(int64_t(status.commitIndex));
     m_base.metrics.gauge("state.index").set(int64_t(m_core->state().index()));
     m_base.metrics.gauge("state.version").set(int64_t(m_core->state().routes().version()));
--- a/daemons/flow_control_daemon.h
+++ b/daemons/flow_control_daemon.h
@@ -13,6 +13,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 
 namespace cicadaward {
 
@@ -57,6 +58,7 @@
     std::unique_ptr<cluster::ControlCore> m_core; // null while the store is not open
     bool m_storeFailed = false; // onTick() destroys m_core
     Time m_nextOpenTime;
+    std::optional<Time> m_storeFailedSince; // nothing while the store is open
     PeerPort m_peers;
     HttpServer m_operators;
     std::unique_ptr<HttpServer> m_metrics;
