Poll the next control instance when one doesn't answer

Callers could see: a change that is not in force in time at an entry that missed its notices, where control instances have been replaced and seeds exchanged.

Cause: a process polls one known instance an interval, in turn, and instances that are gone stay known (seeds of its own settings and of the control instances). Each of them cost a whole interval, and several in a row also looked like a lost contact.

Fix: while a poll has no answer, the next instance is polled after 0.1 s, or a sixteenth of a long interval. The interval between answered polls is unchanged.

--- a/libs/cluster/poller.cc
+++ b/libs/cluster/poller.cc
@@ -14,7 +14,7 @@
     constexpr int contactTimeoutIntervals = 4;
     // A newer state that no instance has named for this long is not one of this group.
     constexpr Duration heardLifetime = std::chrono::seconds(5);
-    constexpr int retriesPerInterval = 8; // of a long interval, so that the retries of many pollers stay few
+    constexpr int retriesPerInterval = 16; // of a long interval, so that the retries of many pollers stay few
     constexpr uint64_t turnsPerFullCycle = 8; // every 8th poll also considers instances without a state
 
 } // namespace
@@ -129,27 +129,33 @@
     reportBehind();
     if (m_controls.empty())
         return;
-    retryIfBehind();
+    retryIfNeeded();
     if (now < m_nextPoll)
         return;
     poll(m_state.index == 0 ? nextSource() : nextControl(), 0);
     if (m_state.index != 0 && !m_output.isWaitingForReply()) {
         m_waitInterval = m_options.initialWaitInterval;
         m_nextPoll = now + interval();
+        if (!isBehind() && !m_awaitsReply)
+            restartRetries();
+        m_awaitsReply = true;
         return;
     }
     m_nextPoll = now + m_waitInterval;
     m_waitInterval = std::min(2 * m_waitInterval, m_options.maxWaitInterval);
 }
 
-// A notice, a poll or its answer may be lost, and the interval is longer than a change may take to be in force.
-void Poller::retryIfBehind()
+// A notice, a poll or its answer may be lost, the instance may be gone, and the interval is longer than a change may
+// take to be in force. The retries double only while they are answered, because the answers are what costs.
+void Poller::retryIfNeeded()
 {
-    if (!isBehind() || m_clock.now() < m_nextRetry)
+    if (!(isBehind() || m_awaitsReply) || m_clock.now() < m_nextRetry)
         return;
     poll(nextSource(), 0);
+    if (!m_awaitsReply)
+        m_retryInterval = std::min(2 * m_retryInterval, interval());
+    m_awaitsReply = true;
     m_nextRetry = m_clock.now() + m_retryInterval;
-    m_retryInterval = std::min(2 * m_retryInterval, interval());
 }
 
 void Poller::restartRetries()
@@ -176,6 +182,7 @@
 void Poller::onReply(Endpoint sender, const PollReply& reply)
 {
     m_lastReply = m_clock.now();
+    m_awaitsReply = false;
     if (!m_inContact) {
         m_inContact = true;
         m_output.contactRenewed();
--- a/libs/cluster/poller.h
+++ b/libs/cluster/poller.h
@@ -4,7 +4,7 @@
 //     poller.onTick(); // sends what is due
 //     poller.onMessage(sender, envelope); // false: not a reply
 //
-// Cost: one poll per interval, and further ones while the state is older than one that it has heard of. The interval
+// Cost: one poll per interval, and further ones without a reply or while it has heard of a newer state. The interval
 // grows with the number of pollers, so the traffic of a control instance doesn't depend on the size of the system. A
 // reply has only what has changed. The state index and the versions of member records only increase, so an instance
 // that lags or was partitioned cannot restore old ones.
@@ -35,7 +35,7 @@
         = std::chrono::milliseconds(30); // without a state or while isWaitingForReply(); doubles
     Duration maxWaitInterval = std::chrono::milliseconds(60); // upper bound of the doubling
     Duration minRetryInterval
-        = std::chrono::milliseconds(100); // while a newer state is known and doesn't arrive; doubles
+        = std::chrono::milliseconds(100); // without a reply, or while a newer state is known; then it doubles
     Duration minConfirmationInterval = std::chrono::milliseconds(50); // between two confirmations
 };
 
@@ -110,7 +110,7 @@
     bool isBehind() const { return m_state.index != 0 && m_heardIndex > m_state.index; }
     void hear(LogIndex);
     void reportBehind();
-    void retryIfBehind();
+    void retryIfNeeded();
     void restartRetries();
     Endpoint nextSource();
     void updateControls(LogIndex index, const std::vector<Endpoint>& controls);
@@ -137,7 +137,8 @@
     LogIndex m_heardIndex = 0; // newest state index in a notice or reply
     Time m_lastHeard; // of m_heardIndex
     Time m_lastProgress; // the last time when the state was not behind, or became newer
-    Time m_nextRetry; // while the state is behind
+    bool m_awaitsReply = false; // no reply since the last poll at the interval
+    Time m_nextRetry; // while the state is behind or no reply has come
     Duration m_retryInterval {};
     bool m_reportedBehind = false;
     uint64_t m_lastConfirmationNumber = 0; // number of the last requested confirmation
