--- a/libs/cluster/control_core_test.cc
+++ b/libs/cluster/control_core_test.cc
@@ -381,7 +381,11 @@
     void sendMessage(Endpoint control, const Envelope& envelope) override { m_sent.emplace_back(control, envelope); }
     void contactLost() override { }
     void contactRenewed() override { }
-    void onState(const ForwardingState& state) override { configuration = state.configuration; }
+    void onState(const ForwardingState& state) override
+    {
+        CHECK(state.configuration.version >= configuration.version);
+        configuration = state.configuration;
+    }
 
     void exchange()
     {
@@ -521,3 +525,37 @@
         }
     }
 }
+
+// Guards against a state that stays old or damaged after a mixture of losses, pauses and quick changes.
+TEST_CASE("control: after losses and pauses a process has exactly the newest state", "[core]")
+{
+    auto byAddress = [](const steering::Route& a, const steering::Route& b) { return a.address < b.address; };
+    for (uint64_t seed = 1; seed <= 12; ++seed) {
+        INFO("seed " << seed);
+        Random random(seed);
+        ThreeInstanceGroup group;
+        PollingProcess process(group);
+        auto& leader = group.nodes[group.leader()];
+        uint64_t number = 0;
+        for (int round = 0; round < 8; ++round) {
+            double loss = 0.3 * random.unit();
+            process.loses = [&random, loss](size_t, size_t) { return random.unit() < loss; };
+            auto routes = static_cast<uint32_t>(uint64_t { 3 } << random.below(11));
+            for (uint64_t changes = 1 + random.below(5); changes > 0; --changes) {
+                ++number;
+                leader.core->putConfiguration(number, largeConfiguration(number, routes), "text");
+                if (random.below(2))
+                    process.run(30ms);
+                else
+                    group.run(30ms);
+            }
+        }
+        process.loses = [](size_t, size_t) { return false; };
+        process.run(applyLimit);
+        CHECK(process.stateIndex() == leader.core->state().index());
+        steering::Configuration expected = leader.core->state().routes().configuration();
+        for (auto* configuration : { &expected, &process.configuration })
+            std::sort(configuration->routes.begin(), configuration->routes.end(), byAddress);
+        CHECK(encodeMessage(process.configuration) == encodeMessage(expected));
+    }
+}
