--- a/libs/steering/agent_fixture.h
+++ b/libs/steering/agent_fixture.h
@@ -21,6 +21,8 @@
     uint64_t lastStartTimeMs = 0;
     bool registersAtOnce = true; // each start is registered as soon as it is announced
 
+    AgentFixture() { run(std::chrono::seconds(2)); } // an agent that has run for longer than a heartbeat interval
+
     static AgentOptions options()
     {
         AgentOptions result;
--- a/libs/steering/fabric_faults.cc
+++ b/libs/steering/fabric_faults.cc
@@ -118,12 +118,12 @@
     bool hasOwnId = m_random.below(3) == 0;
     heartbeat.id = hasOwnId ? "t-" + std::to_string(index) : "x-" + std::to_string(m_random.below(2));
     // Between the end of a target and the first heartbeat of the next one, nothing tells who is at the address.
-    bool hasTarget = target.sequence > 0;
+    bool hasTarget = target.sequence > 1;
     heartbeat.service
         = m_random.below(2) == 0 || !hasTarget ? serviceKey("unknown") : fabricServices[m_random.below(3)];
     heartbeat.draining = m_random.below(4) == 0;
-    heartbeat.startTimeMs = m_random.below(4) == 0 ? 0 : target.startTimeMs() + 5 * m_random.below(3) - 5;
-    if (hasOwnId && heartbeat.startTimeMs == target.startTimeMs())
+    heartbeat.startTimeMs = m_random.below(4) == 0 ? 0 : target.startTimeMs + 5 * m_random.below(3) - 5;
+    if (hasOwnId && heartbeat.startTimeMs == target.startTimeMs)
         heartbeat.startTimeMs += 5;
     heartbeat.sequence = m_random.below(2) == 0 ? m_random.below(3) : m_random.below(1000);
     heartbeat.slots = 6;
@@ -148,7 +148,7 @@
 void Fabric::giveHeartbeat(size_t index, const Heartbeat& heartbeat)
 {
     constexpr size_t maxKept = 8;
-    if (heartbeat.id == "t-" + std::to_string(index) && heartbeat.startTimeMs == m_targets[index].startTimeMs())
+    if (heartbeat.id == "t-" + std::to_string(index) && heartbeat.startTimeMs == m_targets[index].startTimeMs)
         m_sentHeartbeats[index].push_back(heartbeat);
     if (m_sentHeartbeats[index].size() > maxKept)
         m_sentHeartbeats[index].pop_front();
@@ -227,10 +227,17 @@
         announce(*other, entry);
 }
 
+void Fabric::startTarget(size_t index)
+{
+    Target& target = m_targets[index];
+    auto now = static_cast<uint64_t>(m_clock.wallTime().count());
+    target.startTimeMs = std::max(now, target.startTimeMs + 10);
+    target.sequence = 1;
+}
+
 void Fabric::restartTarget(size_t index)
 {
-    m_targets[index].startNumber += 1;
-    m_targets[index].sequence = 0;
+    startTarget(index);
     m_targets[index].draining = false;
     for (auto& [port, open] : m_targets[index].flows) {
         auto found = m_flows.find(port);
--- a/libs/steering/fabric_simulation.cc
+++ b/libs/steering/fabric_simulation.cc
@@ -39,6 +39,7 @@
         m_agents.push_back(std::make_unique<AgentNode>(*this, m_targets.size()));
         m_targets.push_back({});
         m_targets.back().service = fabricServices[i % 3];
+        startTarget(m_targets.size() - 1);
     }
     m_faults.resize(m_options.entries + agentCount());
     m_sentHeartbeats.resize(agentCount());
@@ -447,8 +448,8 @@
     heartbeat.id = "t-" + std::to_string(index);
     heartbeat.service = target.service;
     heartbeat.draining = target.draining;
-    heartbeat.startTimeMs = target.startTimeMs();
-    heartbeat.sequence = ++target.sequence;
+    heartbeat.startTimeMs = target.startTimeMs;
+    heartbeat.sequence = target.sequence++;
     heartbeat.slots = 6;
     giveHeartbeat(index, heartbeat);
 }
--- a/libs/steering/fabric_simulation.h
+++ b/libs/steering/fabric_simulation.h
@@ -62,15 +62,13 @@
 private:
     struct Target {
         ServiceKey service;
-        uint64_t startNumber = 1;
-        uint64_t sequence = 0;
+        uint64_t startTimeMs = 0;
+        uint64_t sequence = 0; // of the next heartbeat
         bool draining = false;
         std::map<uint16_t, bool> flows; // by the caller's port; true: the caller has chosen this target
         Time slowUntil; // until then the target bounces packets late or not at all
         Time failingUntil; // until then the target resets flows with a request, or does not answer
         bool isHanging = false; // while it fails, the target does not answer
-
-        uint64_t startTimeMs() const { return 10 * startNumber; }
     };
     // Current faults of the process of an entry or agent.
     struct Fault {
@@ -222,6 +220,7 @@
     void endFaults();
     void replaceNext();
     void startEntry(size_t index);
+    void startTarget(size_t index);
     void restartTarget(size_t index);
     void restartAgent(size_t index);
     void simulatePowerLoss();
--- a/libs/steering/steering_schedule_test.cc
+++ b/libs/steering/steering_schedule_test.cc
@@ -31,6 +31,12 @@
     size_t passedOnAsEjected = 0;
     size_t failed = 0; // schedules
     std::string failures;
+
+    std::string report(uint64_t count) const
+    {
+        return std::to_string(failed) + " of " + std::to_string(count) + " schedules failed\n"
+            + failures.substr(0, 2000);
+    }
 };
 
 uint64_t scheduleCount(uint64_t fallback)
@@ -65,7 +71,7 @@
 {
     uint64_t count = scheduleCount(1000);
     Totals totals = runSchedules({}, count);
-    INFO(totals.failures.substr(0, 2000));
+    INFO(totals.report(count));
     CHECK(totals.failures.empty());
     CHECK(totals.opened > 200 * count);
     CHECK(totals.delivered > 1000 * count);
@@ -85,7 +91,7 @@
     options.processFaults = true;
     uint64_t count = scheduleCount(500);
     Totals totals = runSchedules(options, count);
-    INFO(totals.failures.substr(0, 2000));
+    INFO(totals.report(count));
     CHECK(totals.failures.empty());
     CHECK(totals.opened > 150 * count);
     CHECK(totals.delivered > 1000 * count);
@@ -100,7 +106,7 @@
     options.stepsPerFault = 20;
     uint64_t count = scheduleCount(60);
     Totals totals = runSchedules(options, count);
-    INFO(totals.failures.substr(0, 2000));
+    INFO(totals.report(count));
     CHECK(totals.failures.empty());
     CHECK(totals.opened > 150 * count);
     CHECK(totals.delivered > 1000 * count);
@@ -119,7 +125,7 @@
     }
     uint64_t count = scheduleCount(500);
     Totals totals = runSchedules(options, count);
-    INFO(totals.failed << " of " << count << " schedules failed\n" << totals.failures.substr(0, 2000));
+    INFO(totals.report(count));
     CHECK(totals.failures.empty());
     CHECK(totals.opened > 150 * count);
     CHECK(totals.delivered > 1000 * count);
@@ -145,7 +151,7 @@
     }
     uint64_t count = scheduleCount(options.targets[0] > 100 ? 20 : 300);
     Totals totals = runSchedules(options, count);
-    INFO(totals.failures.substr(0, 2000));
+    INFO(totals.report(count));
     CHECK(totals.failures.empty());
     CHECK(totals.opened > 150 * count);
     CHECK(totals.resetByTargets > 10 * count);
--- a/libs/steering/steering_test.cc
+++ b/libs/steering/steering_test.cc
@@ -261,6 +261,41 @@
     }
 }
 
+// Guards against an agent that denies flows which an earlier process of it forwarded between heartbeats 0 and 1.
+TEST_CASE("a heartbeat with sequence 1 is the first only when none can have come before", "[registration]")
+{
+    ManualClock clock;
+    TargetRegistration registration(clock, 4800ms);
+    auto born = static_cast<uint64_t>(clock.wallTime().count());
+    Heartbeat heartbeat { "t-1", hub, "east", false, 0ms, born, 1, 2 };
+    bool isFirst = false;
+    SECTION("the process is young, and the target is older than an interval") { heartbeat.startTimeMs -= 1200; }
+    SECTION("the process is young, and the target gives no start time") { heartbeat.startTimeMs = 0; }
+    SECTION("the target's clock was set back") { heartbeat.startTimeMs += 60'000; }
+    SECTION("the target is young, but the heartbeat is an extra one") { heartbeat.draining = true; }
+    SECTION("the start time is out of range") { heartbeat.startTimeMs = UINT64_MAX; }
+    SECTION("sequence 2") { heartbeat.sequence = 2; }
+    SECTION("the target is young")
+    {
+        isFirst = true;
+        clock.advance(500ms);
+    }
+    SECTION("sequence 0")
+    {
+        isFirst = true;
+        heartbeat.startTimeMs -= 1200;
+        heartbeat.sequence = 0;
+    }
+    SECTION("the process has run for longer than an interval")
+    {
+        isFirst = true;
+        tick(registration, clock, 1600ms);
+    }
+    SECTION("the process stood still for longer than an interval") { clock.advance(1800ms); }
+    registration.onHeartbeat(heartbeat);
+    CHECK(registration.hasSeenStart() == isFirst);
+}
+
 // Failures that tests of the agent guard against (agent_steering_test.cc):
 // - Agents that were waiting for a heartbeat after a restart refused flows with resets, which used up the callers'
 //   retries.
--- a/libs/steering/target_registration.cc
+++ b/libs/steering/target_registration.cc
@@ -6,7 +6,6 @@
 
 namespace {
 
-    constexpr uint64_t firstSequence = 1;
     constexpr int heartbeatsUntilGone = 4;
     constexpr Duration maxTickInterval = std::chrono::milliseconds(150);
     constexpr size_t maxClaims = 4;
@@ -18,7 +17,8 @@
     : m_clock(clock)
     , m_heartbeatTimeout(heartbeatTimeout)
     , m_silenceLimit(heartbeatTimeout * 5 / (4 * heartbeatsUntilGone)) // one interval and a quarter
-    , m_lastTick(clock.now())
+    , m_started(clock.now())
+    , m_lastTick(m_started)
 {
 }
 
@@ -116,13 +116,25 @@
     return found == m_ended.end() ? nullptr : &*found;
 }
 
+// An agent forwards flows only after a heartbeat, so no earlier process of this agent can have forwarded flows to a
+// start whose first heartbeat arrives here. Targets count from 0 or from 1. With 1 there was no heartbeat before when
+// this process would have received it, or when the target is too young by the clock of the instance that both run on.
+bool TargetRegistration::isFirst(const Heartbeat& heartbeat) const
+{
+    if (heartbeat.sequence != 1)
+        return heartbeat.sequence == 0;
+    Duration running = m_clock.now() - m_started - m_paused;
+    auto age = std::chrono::milliseconds(
+        m_clock.wallTime().count() - static_cast<int64_t>(std::min<uint64_t>(heartbeat.startTimeMs, INT64_MAX)));
+    bool isYoung = !heartbeat.draining && age.count() >= 0 && age < m_heartbeatTimeout * 3 / (4 * heartbeatsUntilGone);
+    return running > m_silenceLimit || isYoung;
+}
+
 void TargetRegistration::accept(const Heartbeat& heartbeat, Time arrived)
 {
     m_hasSeenEarlierStart = m_hasSeenStart && (m_earlierHasEnded || m_hasSeenEarlierStart);
     m_earlierHasEnded = !m_lastHeartbeat || m_departed || m_hasLostFlows;
-    // An agent forwards flows only after a heartbeat, so no earlier process of this agent can have forwarded flows to a
-    // start whose first heartbeat arrives here.
-    m_hasSeenStart = heartbeat.sequence <= firstSequence;
+    m_hasSeenStart = isFirst(heartbeat);
     if (m_lastHeartbeat)
         addEnded(*m_lastHeartbeat, m_departed);
     m_departed = m_isContested = m_hasLostFlows = false;
--- a/libs/steering/target_registration.h
+++ b/libs/steering/target_registration.h
@@ -104,6 +104,7 @@
     bool mayBeNewer(const Heartbeat&) const;
     bool mayTakeEffect(const Heartbeat&) const;
     const EndedStart* findEnded(const Heartbeat&) const;
+    bool isFirst(const Heartbeat&) const;
     void accept(const Heartbeat&, Time arrived);
     void addEnded(const Heartbeat& start, bool departed);
     // Returns false when the heartbeat is not newer than the claim of the same start.
@@ -120,6 +121,7 @@
     const Clock& m_clock;
     const Duration m_heartbeatTimeout;
     const Duration m_silenceLimit; // one heartbeat is overdue
+    const Time m_started;
     std::optional<Heartbeat> m_lastHeartbeat;
     std::vector<Claim> m_claims; // the one that was heard last is the last
     std::deque<EndedStart> m_ended; // newest last
