--- a/libs/core/findings.cc
+++ b/libs/core/findings.cc
@@ -2,7 +2,13 @@
 
 namespace cicadaward {
 
-void Findings::add(Place place, std::string message) { m_findings.push_back({ std::move(place), std::move(message) }); }
+void Findings::add(Place place, std::string message)
+{
+    if (m_findings.size() < maxFindings)
+        m_findings.push_back({ std::move(place), std::move(message) });
+    else
+        ++m_further;
+}
 
 std::string Findings::report() const
 {
@@ -16,6 +22,8 @@
             text += finding.place.key + ": ";
         text += finding.message + "\n";
     }
+    if (m_further > 0)
+        text += "and " + std::to_string(m_further) + " further findings\n";
     return text;
 }
 
--- a/libs/core/findings.h
+++ b/libs/core/findings.h
@@ -23,8 +23,11 @@
     std::string message;
 };
 
+constexpr size_t maxFindings = 100; // an input can be wrong in as many places as it has bytes
+
 class Findings {
 public:
+    // Findings beyond maxFindings are counted only.
     void add(Place place, std::string message);
 
     bool empty() const { return m_findings.empty(); }
@@ -36,6 +39,7 @@
 
 private:
     std::vector<Finding> m_findings;
+    size_t m_further = 0;
 };
 
 } // namespace cicadaward
--- a/libs/directory/manifest.cc
+++ b/libs/directory/manifest.cc
@@ -2,6 +2,8 @@
 
 #include "directory/manifest.h"
 
+#include "core/json_nesting.h"
+
 #include <boost/asio/ip/address_v4.hpp>
 #include <cmath>
 #include <nlohmann/json.hpp>
@@ -225,6 +227,10 @@
         findings.add({ source, 0, "" }, "is larger than " + std::to_string(maxManifestSize) + " bytes");
         return std::nullopt;
     }
+    if (isNestedDeeperThan(text, maxJsonNesting)) {
+        findings.add({ source, 0, "" }, "is nested too deeply");
+        return std::nullopt;
+    }
     detail::Json json = detail::Json::parse(text, nullptr, false);
     if (json.is_discarded()) {
         findings.add({ source, 0, "" }, "is not valid JSON");
