--- a/libs/cluster/group_simulation.cc
+++ b/libs/cluster/group_simulation.cc
@@ -300,7 +300,12 @@
         Instance& instance = *m_instances[index];
         Duration length = std::chrono::milliseconds(500 + m_random.below(4000));
         beginDiskFault(instance, m_clock.now() + length);
-        runFor(length);
+        runFor(length / 2);
+        if (m_random.below(4) == 0) { // its process ends, or it loses power too
+            instance.crash(m_random.below(2) == 0);
+            instance.start();
+        }
+        runFor(length - length / 2);
         instance.endDiskFault();
         instance.setDiskDelay(std::chrono::milliseconds(5));
         if (m_random.below(4) == 0) {
