Keep a flow when its target bounces another packet between the same ends

A target bounces a copy of the SYN, for example because its queue is full, though it has answered the first one; and a packet of an earlier flow with the same ports is bounced late, after the ports are in use again.

Cause: AgentSteering::onBounced() erased whatever flow the table had between these ends, and an agent that has seen the start of its target denies what is not in its table. A bounced copy of the original SYN also came back to the entry as a refusal.

Now the flow notes the mark of its SYN. A bounced packet with an earlier mark, and a bounced SYN of a flow that the target has answered, are dropped and counted as flow.not-held; the callers repeat what still matters.

Evidence: steering_test "agent: a flow is kept when the target bounces another packet between the same ends" failed in both sections before (the packet was passed on, the next one denied) and passes now.

--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -291,6 +291,7 @@
     m_outliers.onFlowAccepted();
     frame.shouldCompareLoad = false;
     forwardToTarget(frame, packet.flow, data, size);
+    flow->synMark = m_lastMark;
     m_observer.onDecision(Decision::Accepted, packet.flow, { frame.entry, "", m_routes.version(), ownLoad });
 }
 
--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -132,6 +132,7 @@
     void takeNamed();
     HeartbeatResult takeHeartbeat(const Heartbeat&, Time arrived);
     void onNewStart(bool hadTarget);
+    static bool isHeldDespiteBounce(const TargetFlow&, const FlowPacket&);
     bool hasTargetLost(const TargetFlow&, const FlowPacket&) const;
     void onFlowLost(TargetFlow&, const FlowPacket&);
     void expire();
--- a/libs/steering/agent_steering_test.cc
+++ b/libs/steering/agent_steering_test.cc
@@ -277,6 +277,38 @@
     CHECK(fixture.output.toTarget.size() == given);
 }
 
+// Guards against an open flow that its agent denies.
+TEST_CASE("agent: a flow is kept when the target bounces another packet between the same ends", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.heartbeatSequence = 0; // the agent knows all flows and denies the others
+    fixture.makeReady();
+    Endpoint self = AgentFixture::options().self;
+    fixture.open(testFlow(1), 4711);
+    SECTION("a copy of its SYN") { fixture.offer(testFlow(1)); }
+    SECTION("a late packet of an earlier flow")
+    {
+        fixture.frame(FrameKind::Deliver, dataPacket(testFlow(1)), { self });
+        FlowPacket end = dataPacket(testFlow(1), 0);
+        end.fin = true;
+        fixture.receiveFromTarget(end);
+        std::vector<RecordingOutput::Sent> earlier = fixture.output.toTarget;
+        fixture.run(1000ms);
+        end.fin = false;
+        end.reset = true; // the earlier flow ends, and the ports are used again
+        fixture.receiveFromTarget(end);
+        fixture.sendHeartbeat();
+        fixture.open(testFlow(1), 815);
+        fixture.output.toTarget = earlier;
+    }
+    size_t frames = fixture.output.frames.size();
+    fixture.bounceLastPacket();
+    CHECK(fixture.output.frames.size() == frames);
+    size_t given = fixture.output.toTarget.size();
+    fixture.frame(FrameKind::Deliver, dataPacket(testFlow(1)), { self, testMember(2).agent });
+    CHECK(fixture.output.toTarget.size() == given + 1);
+}
+
 // Guards against a SYN that reaches the next target at the same address.
 TEST_CASE("agent: a copy of a SYN does not go to a target that has departed", "[agent]")
 {
--- a/libs/steering/agent_target.cc
+++ b/libs/steering/agent_target.cc
@@ -124,6 +124,14 @@
     m_outliers.onFailed(packet.reset ? TargetFailure::Reset : TargetFailure::Closed, packet.flow.caller.address);
 }
 
+// A target may bounce a copy of the SYN of a flow that it holds, for example when it is full, and a packet of an
+// earlier flow between the same ends that was forwarded before the SYN. Neither says that it does not hold the flow.
+bool AgentSteering::isHeldDespiteBounce(const TargetFlow& flow, const FlowPacket& packet)
+{
+    bool isEarlier = flow.synMark != 0 && packet.mark != 0 && static_cast<int32_t>(packet.mark - flow.synMark) < 0;
+    return isEarlier || (packet.syn && flow.answered);
+}
+
 // Bounced packets prove that the target has lost a flow only when the target held it: its packets were seen, and the
 // caller's packet acknowledges them.
 bool AgentSteering::hasTargetLost(const TargetFlow& flow, const FlowPacket& packet) const
@@ -153,7 +161,12 @@
 
 void AgentSteering::onBounced(const FlowPacket& packet, uint8_t* data, size_t size)
 {
-    if (TargetFlow* flow = m_flows.find(packet.flow); flow && hasTargetLost(*flow, packet)) {
+    TargetFlow* flow = m_flows.find(packet.flow);
+    if (flow && isHeldDespiteBounce(*flow, packet)) {
+        m_observer.onDecision(Decision::NotHeld, packet.flow, { {}, "bounced, but its flow is held" });
+        return;
+    }
+    if (flow && hasTargetLost(*flow, packet)) {
         onFlowLost(*flow, packet);
         forwardQueuedRequests();
         return;
--- a/libs/steering/target_flows.h
+++ b/libs/steering/target_flows.h
@@ -34,6 +34,7 @@
     bool targetClosed = false;
     bool mayHaveEnded = false; // was established when another start of the target was registered
     bool targetEnded = false; // the target has bounced a packet of the flow, which it held before
+    uint32_t synMark = 0; // mark of the SYN that opened the flow; 0: not forwarded by this process
     uint32_t targetIsn = 0; // initial sequence number of the target, from its SYN-ACK
     uint32_t answerEnd
         = 0; // sequence number after the newest data of the target; valid when established or mayHaveEnded
