Remember the first heartbeat of a start until the start is registered

An agent that hears two or more heartbeats of its target before its first state, or while the start is a claim, kept the newest one and judged only that one for being the first of the start. It then gave every flow that was searched for to its target, for the target's whole life (FLOW).

Whether a heartbeat is the first is judged at its arrival now and kept with it. steering_test failed in both new cases before. One case of steering_test lets the process run for 2 s first: it rested on the judgement at the registration, at which a process that was as old as the heartbeat counted as older.

Also from the review: retries of polls double after each unanswered round over all control instances, because 300 processes sent 3,000 polls a second while none answered (worked out, not measured). poller_test "retries become rare while no control instance answers" guards it.

--- a/libs/cluster/poller.cc
+++ b/libs/cluster/poller.cc
@@ -146,13 +146,15 @@
 }
 
 // A notice, a poll or its answer may be lost, the instance may be gone, and the interval is longer than a change may
-// take to be in force. The retries double only while they are answered, because the answers are what costs.
+// take to be in force. The retries double with each answer, because the answers are what costs, and after each
+// unanswered round over all instances, because all of them may be down or overloaded.
 void Poller::retryIfNeeded()
 {
     if (!(isBehind() || m_awaitsReply) || m_clock.now() < m_nextRetry)
         return;
     poll(nextSource(), 0);
-    if (!m_awaitsReply)
+    bool hasEndedRound = m_awaitsReply && ++m_unansweredRetries % m_controls.size() == 0;
+    if (!m_awaitsReply || hasEndedRound)
         m_retryInterval = std::min(2 * m_retryInterval, interval());
     m_awaitsReply = true;
     m_nextRetry = m_clock.now() + m_retryInterval;
@@ -183,6 +185,7 @@
 {
     m_lastReply = m_clock.now();
     m_awaitsReply = false;
+    m_unansweredRetries = 0;
     if (!m_inContact) {
         m_inContact = true;
         m_output.contactRenewed();
--- a/libs/cluster/poller.h
+++ b/libs/cluster/poller.h
@@ -140,6 +140,7 @@
     bool m_awaitsReply = false; // no reply since the last poll at the interval
     Time m_nextRetry; // while the state is behind or no reply has come
     Duration m_retryInterval {};
+    size_t m_unansweredRetries = 0; // since the last reply
     bool m_reportedBehind = false;
     uint64_t m_lastConfirmationNumber = 0; // number of the last requested confirmation
     std::array<Time, 16>
--- a/libs/cluster/poller_test.cc
+++ b/libs/cluster/poller_test.cc
@@ -324,3 +324,26 @@
         CHECK(output.lost == 0);
     }
 }
+
+// Guards against polls of all processes that overload control instances which cannot answer them.
+TEST_CASE("poller: retries become rare while no control instance answers", "[poller]")
+{
+    ManualClock clock;
+    Random random(1);
+    FakePollerOutput output;
+    PollerOptions options;
+    options.seeds = { peerA, { 0x0A050000, 7720 }, { 0x0A050001, 7720 } };
+    Poller poller(options, clock, random, output);
+    PollReply answer = stateReply(1);
+    answer.controls = options.seeds;
+    answer.pollers = 300; // polls every 1.2 s
+    poller.onReply(peerA, answer);
+    auto run = [&](Duration length) {
+        output.polled.clear();
+        for (Time end = clock.now() + length; clock.now() < end; clock.advance(10ms))
+            poller.onTick();
+        return output.polled.size();
+    };
+    run(10s);
+    CHECK(run(12s) <= 2 * 12000 / 1200 + 1);
+}
--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -59,7 +59,7 @@
 HeartbeatResult AgentSteering::onHeartbeat(const Heartbeat& heartbeat)
 {
     if (isNamed(heartbeat))
-        return takeHeartbeat(heartbeat, m_clock.now());
+        return takeHeartbeat(heartbeat, m_registration.arrivalOf(heartbeat));
     keepUnnamed(heartbeat);
     return HeartbeatResult::UnknownService;
 }
@@ -78,11 +78,14 @@
         [&](const UnnamedHeartbeat& kept) { return kept.heartbeat.isSameStart(heartbeat); });
     if (found != m_unnamedHeartbeats.end() && found->heartbeat.sequence >= heartbeat.sequence)
         return;
-    if (found != m_unnamedHeartbeats.end())
+    HeartbeatArrival arrival = m_registration.arrivalOf(heartbeat);
+    if (found != m_unnamedHeartbeats.end()) {
+        arrival.includesFirst = arrival.includesFirst || found->arrival.includesFirst;
         m_unnamedHeartbeats.erase(found);
-    else if (m_unnamedHeartbeats.size() == maxUnnamedHeartbeats)
+    }
+    if (m_unnamedHeartbeats.size() == maxUnnamedHeartbeats)
         m_unnamedHeartbeats.erase(m_unnamedHeartbeats.begin());
-    m_unnamedHeartbeats.push_back({ heartbeat, m_clock.now() });
+    m_unnamedHeartbeats.push_back({ heartbeat, arrival });
 }
 
 void AgentSteering::takeNamed()
@@ -90,19 +93,19 @@
     std::vector<UnnamedHeartbeat> kept;
     kept.swap(m_unnamedHeartbeats);
     for (const UnnamedHeartbeat& unnamed : kept) {
-        if (m_clock.now() - unnamed.arrived > m_options.admission.maxHeartbeatAge)
+        if (m_clock.now() - unnamed.arrival.at > m_options.admission.maxHeartbeatAge)
             continue;
         if (isNamed(unnamed.heartbeat))
-            takeHeartbeat(unnamed.heartbeat, unnamed.arrived);
+            takeHeartbeat(unnamed.heartbeat, unnamed.arrival);
         else
             m_unnamedHeartbeats.push_back(unnamed);
     }
 }
 
-HeartbeatResult AgentSteering::takeHeartbeat(const Heartbeat& heartbeat, Time arrived)
+HeartbeatResult AgentSteering::takeHeartbeat(const Heartbeat& heartbeat, HeartbeatArrival arrival)
 {
     bool hadTarget = m_registration.lastHeartbeat().has_value();
-    HeartbeatResult result = m_registration.onHeartbeat(heartbeat, arrived);
+    HeartbeatResult result = m_registration.onHeartbeat(heartbeat, arrival);
     if (result == HeartbeatResult::NewStart)
         onNewStart(hadTarget);
     if (result == HeartbeatResult::Unchanged || result == HeartbeatResult::Changed) {
--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -102,7 +102,7 @@
     // A heartbeat of a service that the configuration in force does not name.
     struct UnnamedHeartbeat {
         Heartbeat heartbeat;
-        Time arrived;
+        HeartbeatArrival arrival;
     };
 
     const char* refusalReason(const FlowId&);
@@ -130,7 +130,7 @@
     bool isNamed(const Heartbeat&) const;
     void keepUnnamed(const Heartbeat&);
     void takeNamed();
-    HeartbeatResult takeHeartbeat(const Heartbeat&, Time arrived);
+    HeartbeatResult takeHeartbeat(const Heartbeat&, HeartbeatArrival);
     void onNewStart(bool hadTarget);
     static bool isHeldDespiteBounce(const TargetFlow&, const FlowPacket&);
     bool hasTargetLost(const TargetFlow&, const FlowPacket&) const;
--- a/libs/steering/agent_steering_test.cc
+++ b/libs/steering/agent_steering_test.cc
@@ -496,6 +496,17 @@
         CHECK(fixture.agent.registration().heartbeatAge() == 1s);
 }
 
+TEST_CASE("agent: a target that was heard from its start before the first state has no unknown flows", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.heartbeatSequence = 0;
+    fixture.sendHeartbeat();
+    fixture.run(1200ms);
+    fixture.sendHeartbeat();
+    fixture.agent.setState(makeHubRouteTable(), {});
+    CHECK(fixture.agent.registration().hasSeenStart());
+}
+
 TEST_CASE("agent: a target is heard after its service was removed", "[agent]")
 {
     AgentFixture fixture;
--- a/libs/steering/steering_test.cc
+++ b/libs/steering/steering_test.cc
@@ -169,6 +169,7 @@
     ManualClock clock;
     TargetRegistration registration(clock, 4800ms);
     CHECK(registration.state() == TargetState::Unknown);
+    tick(registration, clock, 2000ms);
     Heartbeat first { "t-1", hub, "east", false, 0ms, 100, 5, 2 };
     CHECK(registration.onHeartbeat(first) == HeartbeatResult::NewStart);
     CHECK_FALSE(registration.hasSeenStart());
@@ -261,6 +262,22 @@
     }
 }
 
+// Guards against an agent that asks its target about every flow that is searched for, though it has seen all of them.
+TEST_CASE("a start whose first heartbeat came before its registration was seen from the beginning", "[registration]")
+{
+    ManualClock clock;
+    TargetRegistration registration(clock, 4800ms);
+    tick(registration, clock, 2000ms);
+    registration.onHeartbeat({ "t-1", hub, "east", false, 0ms, 100, 1, 2 });
+    Heartbeat claim { "t-1", hub, "east", false, 0ms, 200, 1, 2 };
+    CHECK(registration.onHeartbeat(claim) == HeartbeatResult::Claimed);
+    tick(registration, clock, 1200ms);
+    claim.sequence = 2;
+    CHECK(registration.onHeartbeat(claim) == HeartbeatResult::Claimed);
+    CHECK(tick(registration, clock, 400ms));
+    CHECK(registration.hasSeenStart());
+}
+
 // Guards against an agent that denies flows which an earlier process of it forwarded between heartbeats 0 and 1.
 TEST_CASE("a heartbeat with sequence 1 is the first only when none can have come before", "[registration]")
 {
--- a/libs/steering/target_registration.cc
+++ b/libs/steering/target_registration.cc
@@ -22,19 +22,25 @@
 {
 }
 
-HeartbeatResult TargetRegistration::onHeartbeat(const Heartbeat& heartbeat, Time arrived)
+HeartbeatArrival TargetRegistration::arrivalOf(const Heartbeat& heartbeat)
+{
+    countPause();
+    return { m_clock.now(), isFirst(heartbeat) };
+}
+
+HeartbeatResult TargetRegistration::onHeartbeat(const Heartbeat& heartbeat, HeartbeatArrival arrival)
 {
     countPause();
     if (!m_lastHeartbeat) {
-        accept(heartbeat, arrived);
+        accept(heartbeat, arrival);
         return HeartbeatResult::NewStart;
     }
     if (m_lastHeartbeat->isSameStart(heartbeat))
-        return onSameStart(heartbeat, arrived);
+        return onSameStart(heartbeat, arrival.at);
     const EndedStart* ended = findEnded(heartbeat);
     if (ended && ended->departed)
         return HeartbeatResult::Outdated;
-    if ((!mayBeNewer(heartbeat) && !mayTakeEffect(heartbeat)) || !addClaim(heartbeat, arrived))
+    if ((!mayBeNewer(heartbeat) && !mayTakeEffect(heartbeat)) || !addClaim(heartbeat, arrival))
         return HeartbeatResult::Outdated;
     return acceptStrongestClaim() ? HeartbeatResult::NewStart : HeartbeatResult::Claimed;
 }
@@ -70,15 +76,16 @@
     return m_departed || m_hasLostFlows || silence() > m_silenceLimit;
 }
 
-bool TargetRegistration::addClaim(const Heartbeat& heartbeat, Time arrived)
+bool TargetRegistration::addClaim(const Heartbeat& heartbeat, HeartbeatArrival arrival)
 {
-    Claim claim { heartbeat, arrived, m_paused };
+    Claim claim { heartbeat, arrival, m_paused };
     auto found = std::find_if(
         m_claims.begin(), m_claims.end(), [&](const Claim& known) { return known.heartbeat.isSameStart(heartbeat); });
     if (found != m_claims.end()) {
         if (heartbeat.sequence <= found->heartbeat.sequence)
             return false;
         claim.heartbeats = found->heartbeats + 1;
+        claim.arrival.includesFirst = claim.arrival.includesFirst || found->arrival.includesFirst;
         m_claims.erase(found);
     } else if (m_claims.size() == maxClaims) {
         m_claims.erase(m_claims.begin());
@@ -104,7 +111,7 @@
     if (!claim || !mayTakeEffect(claim->heartbeat))
         return false;
     Claim accepted = *claim;
-    accept(accepted.heartbeat, accepted.arrived);
+    accept(accepted.heartbeat, accepted.arrival);
     return true;
 }
 
@@ -130,18 +137,18 @@
     return running > m_silenceLimit || isYoung;
 }
 
-void TargetRegistration::accept(const Heartbeat& heartbeat, Time arrived)
+void TargetRegistration::accept(const Heartbeat& heartbeat, HeartbeatArrival arrival)
 {
     m_hasSeenEarlierStart = m_hasSeenStart && (m_earlierHasEnded || m_hasSeenEarlierStart);
     m_earlierHasEnded = !m_lastHeartbeat || m_departed || m_hasLostFlows;
-    m_hasSeenStart = isFirst(heartbeat);
+    m_hasSeenStart = arrival.includesFirst;
     if (m_lastHeartbeat)
         addEnded(*m_lastHeartbeat, m_departed);
     m_departed = m_isContested = m_hasLostFlows = false;
     m_claims.clear();
     m_lastHeartbeat = heartbeat;
-    m_lastHeartbeatTime = arrived;
-    m_coldUntil = arrived + heartbeat.warmUpLeft;
+    m_lastHeartbeatTime = arrival.at;
+    m_coldUntil = arrival.at + heartbeat.warmUpLeft;
     m_pausedBefore = m_paused;
 }
 
@@ -213,7 +220,7 @@
 {
     m_claims.erase(
         std::remove_if(m_claims.begin(), m_claims.end(),
-            [&](const Claim& claim) { return silenceSince(claim.arrived, claim.pausedBefore) > m_silenceLimit; }),
+            [&](const Claim& claim) { return silenceSince(claim.arrival.at, claim.pausedBefore) > m_silenceLimit; }),
         m_claims.end());
 }
 
--- a/libs/steering/target_registration.h
+++ b/libs/steering/target_registration.h
@@ -41,6 +41,13 @@
     bool isSameStart(const Heartbeat& other) const { return id == other.id && startTimeMs == other.startTimeMs; }
 };
 
+// How a heartbeat arrived. It may be judged later, after further ones of its start.
+struct HeartbeatArrival {
+    Time at;
+    // This heartbeat, or an earlier one of the start, was the first of the start.
+    bool includesFirst = false;
+};
+
 enum class HeartbeatResult : uint8_t {
     Unchanged,
     Changed, // state or warm-up
@@ -56,8 +63,10 @@
     // long.
     TargetRegistration(const Clock& clock, Duration heartbeatTimeout);
 
-    HeartbeatResult onHeartbeat(const Heartbeat& heartbeat) { return onHeartbeat(heartbeat, m_clock.now()); }
-    HeartbeatResult onHeartbeat(const Heartbeat&, Time arrived);
+    HeartbeatResult onHeartbeat(const Heartbeat& heartbeat) { return onHeartbeat(heartbeat, arrivalOf(heartbeat)); }
+    HeartbeatResult onHeartbeat(const Heartbeat&, HeartbeatArrival);
+    // Call when the heartbeat arrives.
+    HeartbeatArrival arrivalOf(const Heartbeat&);
     // Handles the deregistration of a target, which may be one whose claim is open. Returns false when `id` is neither
     // or was already deregistered.
     bool onDeparture(const std::string& id);
@@ -89,7 +98,7 @@
 private:
     struct Claim {
         Heartbeat heartbeat; // the newest one
-        Time arrived;
+        HeartbeatArrival arrival;
         Duration pausedBefore; // m_paused when it was noted
         unsigned heartbeats = 1;
     };
@@ -105,10 +114,10 @@
     bool mayTakeEffect(const Heartbeat&) const;
     const EndedStart* findEnded(const Heartbeat&) const;
     bool isFirst(const Heartbeat&) const;
-    void accept(const Heartbeat&, Time arrived);
+    void accept(const Heartbeat&, HeartbeatArrival);
     void addEnded(const Heartbeat& start, bool departed);
     // Returns false when the heartbeat is not newer than the claim of the same start.
-    bool addClaim(const Heartbeat&, Time arrived);
+    bool addClaim(const Heartbeat&, HeartbeatArrival);
     // The claim that may take effect; null when there is none, or another has as many heartbeats or was heard later.
     const Claim* strongestClaim() const;
     bool acceptStrongestClaim();
