Start the targets of the fault simulation at its own time

Cause: the simulation's targets start with its agents but say that they were born in 1970, so the agents no longer know that they have seen every flow. No check is changed; the heartbeats now give the time of the simulation's clock, and all 9 cases pass.

A young agent beside a target that counts from 1 and was born more than 0.9 s before is such an agent from now on.

--- a/libs/steering/target_fault_simulation.cc
+++ b/libs/steering/target_fault_simulation.cc
@@ -145,7 +145,8 @@
         heartbeat.id = "t-" + std::to_string(agent->index);
         heartbeat.service = hub;
         heartbeat.dataCentre = "east";
-        heartbeat.startTimeMs = 100;
+        constexpr auto wallTimeAtStart = 1'700'000'000'000; // of a ManualClock: the targets start with the simulation
+        heartbeat.startTimeMs = wallTimeAtStart;
         heartbeat.sequence = ++m_targets[agent->index].heartbeatSequence;
         heartbeat.slots = slots;
         heartbeat.draining = m_workload.isDrained && isFailing(agent->index);
