Move the fuzz test of control messages out of platform/

scripts/check_platform.sh failed on "Change at random what agents, entries and pollers read": platform/ may not include the inside of libs/cluster. The test case stands in libs/cluster/cluster_fuzz_test.cc now, unchanged; cluster_test, platform_test and the check pass.

--- /dev/null
+++ b/libs/cluster/cluster_fuzz_test.cc
@@ -0,0 +1,115 @@
+// Bytes that no correct process sends: fragments, polls, replies, notices, commands and snapshots. The reader must
+// neither end nor stop working. CICADAWARD_FUZZ_SEEDS in the environment sets the number of seeds (default 300).
+#include "cluster/codec.h"
+#include "cluster/fragments.h"
+#include "cluster/member_table.h"
+#include "cluster/poller.h"
+#include "core/random.h"
+#include "steering/test_fabric.h"
+
+#include <cstdlib>
+
+using namespace cicadaward;
+using namespace cicadaward::steering;
+using namespace std::chrono_literals;
+
+namespace {
+
+uint64_t seedCount()
+{
+    const char* text = std::getenv("CICADAWARD_FUZZ_SEEDS");
+    return text ? std::strtoull(text, nullptr, 10) : 300;
+}
+
+// Changes, cuts, repeats or inserts bytes.
+std::string mutate(std::string bytes, Random& random)
+{
+    for (uint64_t i = random.below(6); i > 0 && !bytes.empty(); --i) {
+        size_t at = random.below(bytes.size());
+        switch (random.below(4)) {
+        case 0:
+            bytes[at] = static_cast<char>(random.next());
+            break;
+        case 1:
+            bytes.resize(at);
+            break;
+        case 2:
+            bytes += bytes.substr(at);
+            break;
+        default:
+            bytes.insert(at, 1, static_cast<char>(random.next()));
+            break;
+        }
+    }
+    return bytes;
+}
+
+struct PollerSink final : cluster::PollerOutput {
+    void sendMessage(Endpoint, const cluster::Envelope&) override { ++sent; }
+    void contactLost() override { }
+    void contactRenewed() override { }
+    size_t sent = 0;
+};
+
+} // namespace
+
+TEST_CASE("changed messages between the daemons never harm their reader", "[fuzz]")
+{
+    cluster::Poll poll;
+    poll.records = { testMember(1), testMember(2) };
+    poll.period = 400ms;
+    cluster::ForwardingState state { 5, makeHubRouteTable().configuration(), { "east" } };
+    cluster::PollReply reply;
+    reply.state = cluster::Envelope { cluster::MessageKind::Poll, encodeMessage(state) }.body;
+    reply.stateIndex = 5;
+    reply.members = poll.records;
+    reply.controls = { entryEndpoint };
+    cluster::State replicated;
+    cluster::Command command;
+    command.configuration = state.configuration;
+    command.members = poll.records;
+    replicated.apply(1, command);
+    for (uint64_t seed = 1; seed <= seedCount(); ++seed) {
+        INFO("seed " << seed);
+        Random random(seed);
+        ManualClock clock;
+        PollerSink sink;
+        cluster::PollerOptions options;
+        options.seeds = { entryEndpoint };
+        options.wantsMembers = true;
+        cluster::Poller poller(options, clock, random, sink);
+        cluster::MemberTable table(clock, 1);
+        cluster::Assembler assembler(clock);
+        cluster::Fragmenter fragmenter(1);
+        cluster::State snapshot;
+        for (int step = 0; step < 100; ++step) {
+            cluster::Poll changedPoll;
+            if (decodeMessage(mutate(encodeMessage(poll), random), changedPoll)) {
+                for (const MemberRecord& record : changedPoll.records)
+                    table.update(record, changedPoll.period);
+                cluster::PollReply answer;
+                table.fillReply(changedPoll.table, changedPoll.digest, answer);
+            }
+            poller.onMessage(entryEndpoint, { cluster::MessageKind::PollReply, mutate(encodeMessage(reply), random) });
+            poller.onMessage(entryEndpoint,
+                { cluster::MessageKind::StateNotice, mutate(encodeMessage(cluster::StateNotice { 9 }), random) });
+            snapshot.decode(mutate(replicated.encode(), random));
+            cluster::Command changed;
+            if (decodeMessage(mutate(encodeMessage(command), random), changed))
+                snapshot.apply(static_cast<LogIndex>(step), changed);
+            for (const std::string& datagram : fragmenter.split(std::string(random.below(5000), 'x'))) {
+                std::string bytes = mutate(datagram, random);
+                assembler.add(entryEndpoint, reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size());
+            }
+            clock.advance(std::chrono::milliseconds(random.below(500)));
+            poller.onTick();
+            table.expire();
+        }
+        size_t before = sink.sent;
+        for (int i = 0; i < 2000 && sink.sent == before; ++i) {
+            clock.advance(100ms);
+            poller.onTick();
+        }
+        CHECK(sink.sent > before);
+    }
+}
