--- a/libs/cluster/cluster_fuzz_test.cc
+++ b/libs/cluster/cluster_fuzz_test.cc
@@ -97,7 +97,8 @@
             cluster::Command changed;
             if (decodeMessage(mutate(encodeMessage(command), random), changed))
                 snapshot.apply(static_cast<LogIndex>(step), changed);
-            for (const std::string& datagram : fragmenter.split(std::string(random.below(5000), 'x'))) {
+            std::vector<std::string> datagrams = fragmenter.split(std::string(random.below(5000), 'x')).value();
+            for (const std::string& datagram : datagrams) {
                 std::string bytes = mutate(datagram, random);
                 assembler.add(entryEndpoint, reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size());
             }
