Ask no other target about a located flow before its agent has denied it

Cause: an agent that has not seen its target's start gives each unknown packet to the target. When the agent of a flow was out for 2 s, the entry's retries and broadcasts brought each retransmission to all such targets, though the entry had the flow located at the agent that was out, and a flow does not move.

Now a frame says whether a member may ask its target. While the entry has located the flow, only the located agent may; the others answer from their tables. When the located agent denies the flow, the search goes on at all members, and those that could not rule the flow out are asked again, so the proof before a reset is as strict as before.

--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -363,6 +363,7 @@
     probe.kind = FrameKind::Probe;
     probe.entry = frame.entry;
     probe.nextPosition = 1;
+    probe.mayTry = frame.mayTry;
     for (Endpoint member : frame.members) {
         probe.members.assign(1, member);
         encodeFrame(probe, data, size, m_frameBuffer);
@@ -379,6 +380,12 @@
         passOn(frame, packet, "not held", data, size);
         return;
     }
+    bool isFirst = frame.kind == FrameKind::Deliver && frame.nextPosition == 1;
+    if (!frame.mayTry && !isFirst) {
+        frame.isUncertain = true;
+        passOn(frame, packet, "not tried", data, size);
+        return;
+    }
     TargetFlow* flow = m_flows.add(packet.flow, m_clock.now());
     m_hasUntrackedFlows = m_hasUntrackedFlows || !flow;
     if (flow) {
--- a/libs/steering/agent_steering_test.cc
+++ b/libs/steering/agent_steering_test.cc
@@ -231,6 +231,47 @@
     }
 }
 
+TEST_CASE("agent: a target is asked about an unknown flow only when the frame allows it", "[agent]")
+{
+    AgentFixture fixture;
+    fixture.makeReady(); // with a heartbeat that is not the first of its start
+    Endpoint self = AgentFixture::options().self;
+    Frame frame;
+    frame.mayTry = false;
+    frame.entry = entryEndpoint;
+    frame.nextPosition = 1;
+    bool isAsked = false;
+    SECTION("the first member of a walk, where the flow was located")
+    {
+        frame.members = { self, testMember(2).agent };
+        isAsked = true;
+    }
+    SECTION("a later member")
+    {
+        frame.members = { testMember(2).agent, self };
+        frame.nextPosition = 2;
+    }
+    SECTION("a probe")
+    {
+        frame.kind = FrameKind::Probe;
+        frame.members = { self };
+    }
+    std::vector<uint8_t> packet = FakePacketFormat::encode(dataPacket(testFlow(1)));
+    std::vector<uint8_t> bytes;
+    encodeFrame(frame, packet.data(), packet.size(), bytes);
+    size_t frames = fixture.output.frames.size();
+    fixture.agent.onFrame(entryEndpoint, bytes.data(), bytes.size());
+    CHECK(fixture.output.toTarget.size() == (isAsked ? 1 : 0));
+    if (isAsked || frame.kind == FrameKind::Probe)
+        return;
+    REQUIRE(fixture.output.frames.size() == frames + 1);
+    const auto& sent = fixture.output.frames.back();
+    Frame returned;
+    REQUIRE(decodeFrame(sent.bytes.data(), sent.bytes.size(), returned));
+    CHECK(returned.kind == FrameKind::Returned);
+    CHECK(returned.isUncertain);
+}
+
 // Guards against a bounced packet that is passed on with the member list of another flow: members that were not asked
 // would count as not holding it.
 TEST_CASE("agent: a bounced packet with the mark of an earlier process is not passed on", "[agent]")
--- a/libs/steering/entry_steering.cc
+++ b/libs/steering/entry_steering.cc
@@ -181,22 +181,25 @@
         frame.entry = m_options.self;
         frame.nextPosition = 1;
         frame.members.assign(step.walk.begin(), step.walk.end());
+        frame.mayTry = step.located.port == 0;
         send(step.walk[0], frame, data, size);
         m_observer.onDecision(Decision::Searched, packet.flow, { step.walk[0], "", m_routes.version() });
     }
+    bool isLocated = step.located.port != 0;
     for (Endpoint agent : step.probes)
-        sendProbe(agent, FrameKind::Probe, { agent }, data, size);
+        sendProbe(agent, FrameKind::Probe, { agent }, !isLocated || agent == step.located, data, size);
     for (const SearchStep::FanOutGroup& group : step.groups)
-        sendProbe(group.forwarder, FrameKind::FanOut, group.members, data, size);
+        sendProbe(group.forwarder, FrameKind::FanOut, group.members, !isLocated, data, size);
     if (step.isBroadcast)
         m_observer.onDecision(Decision::Broadcast, packet.flow, { {}, "no answer to the search", m_routes.version() });
 }
 
 void EntrySteering::sendProbe(
-    Endpoint agent, FrameKind kind, const std::vector<Endpoint>& members, const uint8_t* data, size_t size)
+    Endpoint agent, FrameKind kind, const std::vector<Endpoint>& members, bool mayTry, const uint8_t* data, size_t size)
 {
     Frame frame;
     frame.kind = kind;
+    frame.mayTry = mayTry;
     frame.entry = m_options.self;
     frame.nextPosition = kind == FrameKind::Probe ? 1 : 0;
     frame.members.assign(members.begin(), members.end());
@@ -247,12 +250,15 @@
     const Route* route = m_routes.find(packet->flow.service);
     if (found == m_flows.end() || !route)
         return;
-    if (found->second.agent == sender)
+    bool hasLocatedDenied = !frame.members.empty() && found->second.agent == frame.members[0];
+    if (found->second.agent == sender || hasLocatedDenied)
         found->second.agent = {};
     if (found->second.agent.port != 0)
         return; // another answer has located the flow
-    SearchStep step
-        = m_searches.onDenied(packet->flow, *route, { frame.members.begin(), frame.members.end() }, !frame.isUncertain);
+    std::vector<Endpoint> denied(frame.members.begin(), frame.members.end());
+    if (!frame.mayTry && frame.isUncertain)
+        denied.resize(1); // the others have not asked their targets
+    SearchStep step = m_searches.onDenied(packet->flow, *route, denied, !frame.isUncertain);
     if (step.isEmpty())
         onAllMembersDenied(*packet, found->second);
     else
--- a/libs/steering/entry_steering.h
+++ b/libs/steering/entry_steering.h
@@ -117,7 +117,8 @@
     void onNonSyn(const FlowPacket&, const uint8_t* data, size_t size);
     void search(const FlowPacket&, Endpoint lastKnownAgent, const uint8_t* data, size_t size);
     void send(const SearchStep&, const FlowPacket&, const uint8_t* data, size_t size);
-    void sendProbe(Endpoint agent, FrameKind, const std::vector<Endpoint>& members, const uint8_t* data, size_t size);
+    void sendProbe(
+        Endpoint agent, FrameKind, const std::vector<Endpoint>& members, bool mayTry, const uint8_t* data, size_t size);
     void onLocated(Endpoint sender, const FlowId&);
     void onReturned(Endpoint sender, const Frame&, const uint8_t* packet, size_t size);
     void onOfferReturned(Endpoint sender, const Frame&, const FlowPacket&);
--- a/libs/steering/entry_steering_test.cc
+++ b/libs/steering/entry_steering_test.cc
@@ -256,6 +256,47 @@
 }
 
 // Guards against a reset of a flow that a retransmission of the SYN has opened at another target.
+// Guards against packets of an open flow at sound targets that do not hold it, while its own agent is out.
+TEST_CASE("entry: while the agent of a located flow is out, no other member asks its target", "[entry]")
+{
+    EntryFixture fixture;
+    Endpoint home = testMember(2).agent;
+    FlowPacket data = dataPacket(testFlow(1));
+    fixture.located(home, testFlow(1));
+    fixture.packet(data);
+    CHECK(fixture.lastFrame().mayTry); // to the home only
+    size_t before = fixture.output.frames.size();
+    for (int retransmission = 0; retransmission < 3; ++retransmission) {
+        fixture.clock.advance(50ms);
+        fixture.entry.onTick();
+        fixture.clock.advance(150ms);
+        fixture.packet(data);
+    }
+    size_t toHome = 0;
+    for (size_t i = before; i < fixture.output.frames.size(); ++i) {
+        Frame frame;
+        const auto& sent = fixture.output.frames[i];
+        REQUIRE(decodeFrame(sent.bytes.data(), sent.bytes.size(), frame));
+        bool isForHome = frame.kind == FrameKind::Probe && sent.to == home;
+        CHECK(frame.mayTry == isForHome);
+        toHome += sent.to == home ? 1 : 0;
+    }
+    CHECK(toHome >= 3);
+
+    // Once the home has denied the flow, the members that were not allowed to ask their targets are asked again.
+    Frame walk;
+    walk.kind = FrameKind::Deliver;
+    walk.members = { home, testMember(1).agent, testMember(3).agent };
+    walk.mayTry = false;
+    walk.isUncertain = true;
+    fixture.returned(testMember(3).agent, walk, data);
+    Frame next = fixture.lastFrame();
+    CHECK(next.kind == FrameKind::Deliver);
+    CHECK(next.mayTry);
+    CHECK(next.members.size() == 3); // of four
+    CHECK(std::count(next.members.begin(), next.members.end(), home) == 0);
+}
+
 TEST_CASE("entry: a SYN that is returned late is not answered with a reset", "[entry]")
 {
     EntryFixture fixture;
--- a/libs/steering/flow_search.cc
+++ b/libs/steering/flow_search.cc
@@ -6,6 +6,17 @@
 
 namespace cicadaward::steering {
 
+namespace {
+
+    // Adds the member when it is not in the list.
+    void moveToFront(std::vector<Endpoint>& members, Endpoint member)
+    {
+        members.erase(std::remove(members.begin(), members.end(), member), members.end());
+        members.insert(members.begin(), member);
+    }
+
+} // namespace
+
 FlowSearches::FlowSearches(SearchOptions options, const Clock& clock, const Members& members)
     : m_options(options)
     , m_clock(clock)
@@ -13,14 +24,15 @@
 {
 }
 
-SearchStep FlowSearches::nextStep(const FlowId& flow, const Route& route, Endpoint lastKnownAgent)
+SearchStep FlowSearches::nextStep(const FlowId& flow, const Route& route, Endpoint located)
 {
     Search* current = findOrStart(flow);
-    if (!current) // at maxSearches: each packet starts a new walk, without state
-        return walkStep(flow, route, Search(), lastKnownAgent);
-    if (isOverdue(*current))
-        return broadcastStep(flow, route, *current);
-    return walkStep(flow, route, *current, lastKnownAgent);
+    Search unkept; // at maxSearches: each packet starts a new walk, without state
+    Search& search = current ? *current : unkept;
+    search.located = located;
+    if (current && isOverdue(search))
+        return broadcastStep(flow, route, search);
+    return walkStep(flow, route, search);
 }
 
 bool FlowSearches::isOverdue(const Search& search) const
@@ -40,6 +52,9 @@
     uint64_t hash = flow.hash();
     step.probes = m_members.candidatesForExistingFlow(hash, route, route.selectService(hash), m_options.maxDirectProbes,
         CandidateOrder::ByFlowHash, &found->second.denied);
+    step.located = found->second.located;
+    if (step.located.port != 0)
+        moveToFront(step.probes, step.located);
     return step;
 }
 
@@ -50,6 +65,7 @@
     if (!current)
         return {};
     current->isCertain = current->isCertain && isCertain;
+    current->located = {};
     current->lastWalk = m_clock.now();
     for (Endpoint member : members) {
         if (m_denials >= m_options.maxDenials) {
@@ -58,7 +74,7 @@
         }
         m_denials += current->denied.insert(member).second ? 1 : 0;
     }
-    return walkStep(flow, route, *current, {});
+    return walkStep(flow, route, *current);
 }
 
 std::optional<Duration> FlowSearches::onFlowFound(const FlowId& flow)
@@ -114,18 +130,17 @@
     return &created;
 }
 
-SearchStep FlowSearches::walkStep(
-    const FlowId& flow, const Route& route, const Search& search, Endpoint lastKnownAgent) const
+SearchStep FlowSearches::walkStep(const FlowId& flow, const Route& route, const Search& search) const
 {
     SearchStep step;
+    step.located = search.located;
     uint64_t hash = flow.hash();
     ServiceKey service = route.selectService(hash);
     size_t limit = search.denied.empty() ? m_options.firstWalkMembers : maxFrameMembers;
     step.walk = m_members.candidatesForExistingFlow(
         hash, route, service, limit, CandidateOrder::ResponsiveFirst, &search.denied);
-    if (lastKnownAgent.port != 0) {
-        step.walk.erase(std::remove(step.walk.begin(), step.walk.end(), lastKnownAgent), step.walk.end());
-        step.walk.insert(step.walk.begin(), lastKnownAgent);
+    if (step.located.port != 0) {
+        moveToFront(step.walk, step.located);
         step.walk.resize(std::min(step.walk.size(), limit));
     }
     for (Endpoint member : m_members.candidatesForExistingFlow(
@@ -148,6 +163,9 @@
         std::numeric_limits<size_t>::max(), CandidateOrder::ByFlowHash, nullptr);
     size_t front = std::min(m_options.maxDirectProbes, all.size());
     step.probes.assign(all.begin(), all.begin() + front);
+    step.located = search.located;
+    if (step.located.port != 0)
+        moveToFront(step.probes, step.located);
     for (size_t at = front; at < all.size(); at += maxFrameMembers) {
         SearchStep::FanOutGroup group;
         group.members.assign(all.begin() + at, all.begin() + std::min(at + maxFrameMembers, all.size()));
--- a/libs/steering/flow_search.h
+++ b/libs/steering/flow_search.h
@@ -14,6 +14,10 @@
 //   the others are reached in groups of at most `maxFrameMembers`, where one agent (from the second broadcast on, two)
 //   forwards the packet to the rest, because agents have the bandwidth for that and entries may not.
 //
+// A member that cannot tell whether its target holds the flow may ask the target. While the agent of a located flow is
+// out, that would only bring packets to targets that do not hold it. So until the located agent has denied the flow,
+// only that agent may ask its target; the others answer from what they know.
+//
 // The search ends unsuccessfully only when all members have denied the flow. This takes O(members) frames between
 // agents and is rare.
 //
@@ -66,6 +70,7 @@
     std::vector<Endpoint> probes; // a Probe frame each
     std::vector<FanOutGroup> groups; // a FanOut frame each
     bool isBroadcast = false;
+    Endpoint located; // the only member that may ask its target; port 0: all members may
 
     bool isEmpty() const { return walk.empty() && probes.empty() && groups.empty(); }
 };
@@ -74,10 +79,11 @@
 public:
     FlowSearches(SearchOptions, const Clock&, const Members&);
 
-    // The caller has sent a packet of the flow. `lastKnownAgent`, unless its port is 0, is asked first.
-    SearchStep nextStep(const FlowId&, const Route&, Endpoint lastKnownAgent);
+    // The caller has sent a packet of the flow, which is located at this agent unless its port is 0.
+    SearchStep nextStep(const FlowId&, const Route&, Endpoint located);
     // The members of a walk's frame have denied the flow. `isCertain` is false when one of them could not rule out that
-    // its target holds it. Returns the next step of the walk; empty when all members have been asked.
+    // its target holds it. Returns the next step of the walk; empty when all members have been asked. All members may
+    // ask their targets from now on.
     SearchStep onDenied(const FlowId&, const Route&, const std::vector<Endpoint>& members, bool isCertain);
     // A member holds the flow: ends its search and returns the time since the start, or nothing when there was no
     // search.
@@ -100,13 +106,14 @@
         Time lastWalk; // start of the walk, or the newest denial
         Time lastBroadcast;
         unsigned broadcasts = 0;
+        Endpoint located; // the agent at which the entry has located the flow; port 0: none
         bool isCertain = true; // each denial was certain, and all of them were stored
         absl::flat_hash_set<Endpoint> denied;
     };
 
     bool isOverdue(const Search&) const;
     Search* findOrStart(const FlowId&);
-    SearchStep walkStep(const FlowId&, const Route&, const Search&, Endpoint lastKnownAgent) const;
+    SearchStep walkStep(const FlowId&, const Route&, const Search&) const;
     SearchStep broadcastStep(const FlowId&, const Route&, Search&) const;
     void erase(absl::flat_hash_map<FlowId, Search>::iterator);
 
--- a/libs/steering/frame.h
+++ b/libs/steering/frame.h
@@ -33,6 +33,9 @@
     bool mayAcceptLater = false; // Offer: a member could not decide yet, so it may accept a retransmitted SYN
     bool isUncertain
         = false; // Deliver: a member forwarded the packet but cannot rule out that its target holds the flow
+    // Deliver, Probe, FanOut: a member that cannot rule out that its target holds the flow may give it the packet. The
+    // first member of a Deliver frame always may.
+    bool mayTry = true;
     uint8_t nextPosition = 0; // position in `members` of the next one to visit
     uint8_t leastLoadedPosition = noPosition; // position of the visited member with the lowest load
     uint16_t lowestLoad = 0; // see AgentSteering::load()
