Share the byte changes of the three fuzz tests

They stand in core/fuzz_support.h now; each test draws as before (limits 6, 6 and 8). cluster_test, platform_test and stream_fuzz_test pass.

--- a/libs/cluster/cluster_fuzz_test.cc
+++ b/libs/cluster/cluster_fuzz_test.cc
@@ -4,45 +4,17 @@
 #include "cluster/fragments.h"
 #include "cluster/member_table.h"
 #include "cluster/poller.h"
-#include "core/random.h"
+#include "core/fuzz_support.h"
 #include "steering/test_fabric.h"
 
-#include <cstdlib>
-
 using namespace cicadaward;
 using namespace cicadaward::steering;
 using namespace std::chrono_literals;
 
 namespace {
 
-uint64_t seedCount()
-{
-    const char* text = std::getenv("CICADAWARD_FUZZ_SEEDS");
-    return text ? std::strtoull(text, nullptr, 10) : 300;
-}
-
 // Changes, cuts, repeats or inserts bytes.
-std::string mutate(std::string bytes, Random& random)
-{
-    for (uint64_t i = random.below(6); i > 0 && !bytes.empty(); --i) {
-        size_t at = random.below(bytes.size());
-        switch (random.below(4)) {
-        case 0:
-            bytes[at] = static_cast<char>(random.next());
-            break;
-        case 1:
-            bytes.resize(at);
-            break;
-        case 2:
-            bytes += bytes.substr(at);
-            break;
-        default:
-            bytes.insert(at, 1, static_cast<char>(random.next()));
-            break;
-        }
-    }
-    return bytes;
-}
+std::string mutate(std::string bytes, Random& random) { return mutateBytes(std::move(bytes), random, 6); }
 
 struct PollerSink final : cluster::PollerOutput {
     void sendMessage(Endpoint, const cluster::Envelope&) override { ++sent; }
@@ -69,7 +41,7 @@
     command.configuration = state.configuration;
     command.members = poll.records;
     replicated.apply(1, command);
-    for (uint64_t seed = 1; seed <= seedCount(); ++seed) {
+    for (uint64_t seed = 1; seed <= fuzzSeedCount(); ++seed) {
         INFO("seed " << seed);
         Random random(seed);
         ManualClock clock;
--- a/libs/stream/stream_fuzz_test.cc
+++ b/libs/stream/stream_fuzz_test.cc
@@ -1,8 +1,8 @@
 // Bytes that no correct peer sends. CICADAWARD_FUZZ_SEEDS in the environment sets the number of seeds (default 300).
+#include "core/fuzz_support.h"
 #include "stream/stream_test_peers.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <map>
 #include <unistd.h>
 
@@ -11,34 +11,8 @@
 
 namespace {
 
-uint64_t seedCount()
-{
-    const char* text = std::getenv("CICADAWARD_FUZZ_SEEDS");
-    return text ? std::strtoull(text, nullptr, 10) : 300;
-}
-
 // Changes, cuts, repeats or inserts bytes.
-std::string mutate(std::string bytes, Random& random)
-{
-    for (uint64_t i = random.below(8); i > 0 && !bytes.empty(); --i) {
-        const size_t at = random.below(bytes.size());
-        switch (random.below(4)) {
-        case 0:
-            bytes[at] = static_cast<char>(random.next());
-            break;
-        case 1:
-            bytes.resize(at);
-            break;
-        case 2:
-            bytes += bytes.substr(at);
-            break;
-        default:
-            bytes.insert(at, 1, static_cast<char>(random.next()));
-            break;
-        }
-    }
-    return bytes;
-}
+std::string mutate(std::string bytes, Random& random) { return mutateBytes(std::move(bytes), random, 8); }
 
 // Frames with a correct layout and arbitrary contents, half of them on few streams so that they meet.
 std::string randomFrames(Random& random)
@@ -71,7 +45,7 @@
     boost::asio::io_context context;
     StreamServer server(context, anyPort, echo, options);
     REQUIRE(server.listen().ok());
-    for (uint64_t seed = 1; seed <= seedCount(); ++seed) {
+    for (uint64_t seed = 1; seed <= fuzzSeedCount(); ++seed) {
         INFO("seed " << seed);
         Random random(seed);
         Tcp::socket socket(context);
@@ -94,7 +68,7 @@
     options.limits.receiveTimeout = 20ms;
     boost::asio::io_context context;
     Tcp::acceptor acceptor(context, anyPort);
-    for (uint64_t seed = 1; seed <= seedCount(); ++seed) {
+    for (uint64_t seed = 1; seed <= fuzzSeedCount(); ++seed) {
         INFO("seed " << seed);
         Random random(seed);
         // The unchanged answer of seed 1 must arrive however slow the machine is.
@@ -124,7 +98,7 @@
 TEST_CASE("every request ends exactly once with its own reply while server and clients come and go", "[stream]")
 {
     const boost::asio::ip::address_v4 address(0x7f590000 | (static_cast<uint32_t>(::getpid()) & 0xffff));
-    for (uint64_t seed = 1; seed <= seedCount() / 30; ++seed) {
+    for (uint64_t seed = 1; seed <= fuzzSeedCount() / 30; ++seed) {
         INFO("seed " << seed);
         Random random(seed);
         boost::asio::io_context context;
