--- a/libs/steering/entry_steering_test.cc
+++ b/libs/steering/entry_steering_test.cc
@@ -260,6 +260,9 @@
 TEST_CASE("entry: while the agent of a located flow is out, no other member asks its target", "[entry]")
 {
     EntryFixture fixture;
+    constexpr uint32_t memberCount = 12; // more than a broadcast asks with a probe each
+    for (uint32_t i = 5; i <= memberCount; ++i)
+        fixture.entry.members().update(testMember(i));
     Endpoint home = testMember(2).agent;
     FlowPacket data = dataPacket(testFlow(1));
     fixture.located(home, testFlow(1));
@@ -293,7 +296,7 @@
     Frame next = fixture.lastFrame();
     CHECK(next.kind == FrameKind::Deliver);
     CHECK(next.mayTry);
-    CHECK(next.members.size() == 3); // of four
+    CHECK(next.members.size() == memberCount - 1);
     CHECK(std::count(next.members.begin(), next.members.end(), home) == 0);
 }
 
--- a/libs/steering/flow_search_test.cc
+++ b/libs/steering/flow_search_test.cc
@@ -171,3 +171,23 @@
     SearchStep step = fixture.searches.nextStep(testFlow(0), fixture.route, {});
     CHECK(fixture.searches.onDenied(testFlow(0), fixture.route, step.walk, true).walk.size() == 4);
 }
+
+// Guards against a flow that stays unfound after its agent has restarted, because only others are asked.
+TEST_CASE("search: the located agent is in each step, wherever it stands in the order", "[search]")
+{
+    SearchFixture fixture(109);
+    Endpoint located = fixture.order()[60];
+    Time sent = fixture.clock.now();
+    SearchStep step = fixture.searches.nextStep(fixture.flow, fixture.route, located);
+    CHECK(step.walk.front() == located);
+    CHECK(step.located == located);
+    fixture.clock.advance(30ms);
+    step = fixture.searches.retryStep(fixture.flow, fixture.route, sent);
+    CHECK(step.probes.front() == located);
+    CHECK(step.located == located);
+    step = fixture.searches.nextStep(fixture.flow, fixture.route, located);
+    REQUIRE(step.isBroadcast);
+    CHECK(step.probes.front() == located);
+    CHECK(step.located == located);
+    CHECK(fixture.searches.onDenied(fixture.flow, fixture.route, { located }, true).located == Endpoint());
+}
