Keep contact with a follower to which large entries don't get through

Operators saw: while a zone's links lost 8% of the packets, calls that reached a control instance there were answered 503 "no leader is known" although the group had a leader.

Cause: a follower that has missed an entry is probed, and each probe, also the one of a heartbeat, had the next entries, at least one of any size. A command of some 100 datagrams practically never arrives over such a link, so the follower heard nothing of its leader, campaigned, and counted as inactive at the leader.

Fix: a probe has entries only up to 1 KiB together; larger ones follow its answer in Replicate mode, which costs one round trip after a loss.

Test: "A follower to which large messages don't get through keeps its leader" failed on the code before (the follower inactive at the leader after 1.0 s) and passes now.

--- a/libs/raft/raft.h
+++ b/libs/raft/raft.h
@@ -38,6 +38,7 @@
     Duration heartbeatInterval = std::chrono::milliseconds(100);
     size_t maxEntryBytes = 1 << 20; // largest proposal; at most StoreOptions::maxEntryBytes
     size_t maxMessageBytes = 1 << 20; // entry or snapshot data per message
+    size_t maxProbeBytes = 1 << 10; // entries in a probe of a follower's log; larger ones follow its answer
     size_t maxMessageEntries = 1024;
     size_t maxInflightMessages = 16; // unanswered AppendRequests per follower
     size_t maxUncommittedBytes = 8 << 20; // proposals beyond these limits are answered with LogFull
@@ -184,6 +185,8 @@
     void recordAck(Peer& peer, uint64_t sentAt);
     void replicate(InstanceId id, Peer& peer);
     void sendAppend(InstanceId id, Peer& peer, bool heartbeat);
+    std::vector<LogEntry> entriesOfProbe(const Peer&) const;
+    void sendContact(InstanceId id, const LogSnapshot&);
     void sendChunk(InstanceId id, Peer& peer);
     void heartbeat();
     void advanceCommit();
--- a/libs/raft/raft_replication.cc
+++ b/libs/raft/raft_replication.cc
@@ -1,6 +1,7 @@
 // Log replication of class Raft: AppendEntries, commitIndex, snapshots and the leader's lease.
 // The leader first probes a follower with one request at a time until it finds the matchIndex, then pipelines up to
-// maxInflightMessages requests. A follower that needs compacted entries is sent the snapshot in chunks.
+// maxInflightMessages requests. A follower that needs compacted entries is sent the snapshot in chunks. Each heartbeat
+// sends every peer a small message, so that a peer to which large ones don't get through keeps its leader.
 #include "raft/raft.h"
 
 #include "raft/codec.h"
@@ -70,10 +71,12 @@
     m_heartbeatCommitIndex = m_commitIndex;
     for (auto& [id, peer] : m_peers) {
         peer.isProbeInFlight = false; // the request or its answer may be lost
-        if (peer.mode == SendMode::Snapshot)
-            sendChunk(id, peer);
-        else
+        if (peer.mode != SendMode::Snapshot) {
             sendAppend(id, peer, true);
+            continue;
+        }
+        sendContact(id, *peer.snapshot);
+        sendChunk(id, peer);
     }
 }
 
@@ -113,7 +116,9 @@
         return;
     }
     AppendRequest request { peer.nextIndex - 1, *prevLogTerm, m_commitIndex, currentTimestamp(), {} };
-    if (peer.mode == SendMode::Probe || !heartbeat)
+    if (peer.mode == SendMode::Probe)
+        request.entries = entriesOfProbe(peer);
+    else if (!heartbeat)
         request.entries = m_log.slice(peer.nextIndex, m_options.maxMessageEntries, m_options.maxMessageBytes);
     if (peer.mode == SendMode::Probe)
         peer.isProbeInFlight = true;
@@ -124,6 +129,21 @@
     send(id, std::move(request), false);
 }
 
+// Probes are the only contact with the peer, so they must not depend on the arrival of large entries.
+std::vector<LogEntry> Raft::entriesOfProbe(const Peer& peer) const
+{
+    std::vector<LogEntry> entries = m_log.slice(peer.nextIndex, m_options.maxMessageEntries, m_options.maxProbeBytes);
+    bool isSmall = !entries.empty() && entries.front().data.size() <= m_options.maxProbeBytes;
+    return isSmall ? entries : std::vector<LogEntry>();
+}
+
+// Keeps contact with a peer that receives the snapshot, whose chunks may take several attempts. The peer rejects it, or
+// accepts it when it has the snapshot's last entry.
+void Raft::sendContact(InstanceId id, const LogSnapshot& snapshot)
+{
+    send(id, AppendRequest { snapshot.index, snapshot.term, m_commitIndex, currentTimestamp(), {} }, false);
+}
+
 void Raft::sendChunk(InstanceId id, Peer& peer)
 {
     const LogSnapshot& snapshot = *peer.snapshot;
--- a/libs/raft/raft_test.cc
+++ b/libs/raft/raft_test.cc
@@ -32,8 +32,8 @@
     return contents;
 }
 
-// Instances that share a clock. The network loses only messages from or to isolated instances, and disk writes complete
-// at once.
+// Instances that share a clock. The network loses only messages from or to isolated instances and those that `loses`
+// names, and disk writes complete at once.
 struct Group {
     explicit Group(uint64_t size, RaftOptions raftOptions = {})
         : options(raftOptions)
@@ -69,7 +69,9 @@
             for (RaftAction& action : instances.at(to)->handle(std::move(next))) {
                 if (auto* message = std::get_if<SendMessage>(&action)) {
                     InstanceId target = message->message.to;
-                    if (isolated.count(to) == 0 && isolated.count(target) == 0 && instances.count(target) > 0)
+                    bool isLost
+                        = isolated.count(to) != 0 || isolated.count(target) != 0 || (loses && loses(message->message));
+                    if (!isLost && instances.count(target) > 0)
                         queue.emplace_back(target, MessageReceived { std::move(message->message) });
                 } else if (auto* persist = std::get_if<Persist>(&action)) {
                     queue.emplace_back(to, Persisted { persist->batchNumber });
@@ -100,6 +102,7 @@
     Random random { 5 };
     std::map<InstanceId, std::unique_ptr<Raft>> instances;
     std::set<InstanceId> isolated;
+    std::function<bool(const RaftMessage&)> loses;
     std::set<InstanceId> stopped;
 };
 
@@ -246,6 +249,41 @@
     CHECK(group.leader()->status().term == term);
 }
 
+// Guards against a follower without a leader: while a large entry or a chunk of a snapshot is lost again and again,
+// each message to the follower had one, so that it heard nothing and campaigned.
+TEST_CASE("A follower to which large messages don't get through keeps its leader")
+{
+    RaftOptions options;
+    options.retainedEntries = 0;
+    Group group(3, options);
+    InstanceId leader = group.leader()->self();
+    InstanceId follower(leader == InstanceId(1) ? 2 : 1);
+    Term term = group.leader()->status().term;
+    group.loses
+        = [&](const RaftMessage& message) { return message.to == follower && encodeMessage(message).size() > 2000; };
+    auto propose = [&] { group.dispatch(leader, Propose { 1, std::string(5000, 'x') }); };
+    auto checkContact = [&] {
+        for (int i = 0; i < 200; ++i) {
+            group.advanceTime(milliseconds(25));
+            REQUIRE(group.instances.at(follower)->leader() == leader);
+            REQUIRE(group.instances.at(follower)->status().term == term);
+            for (const InstanceStatus& status : group.leader()->status().instances)
+                REQUIRE(status.isActive);
+        }
+    };
+    propose();
+    checkContact();
+    propose();
+    LogIndex index = group.leader()->status().commitIndex;
+    group.dispatch(leader, SnapshotTaken { index, std::string(5000, 's') });
+    REQUIRE(group.leader()->status().snapshotIndex == index);
+    checkContact();
+    CHECK(group.instances.at(follower)->status().commitIndex < index);
+    group.loses = nullptr;
+    group.advanceTime(milliseconds(300));
+    CHECK(group.instances.at(follower)->status().commitIndex == index);
+}
+
 TEST_CASE("Proposals beyond a limit get a definite answer")
 {
     RaftOptions options;
--- a/libs/raft/schedule_instance.h
+++ b/libs/raft/schedule_instance.h
@@ -18,6 +18,7 @@
     options.electionTimeout = std::chrono::milliseconds(200);
     options.heartbeatInterval = std::chrono::milliseconds(40);
     options.maxMessageBytes = 64; // a snapshot takes several chunks
+    options.maxProbeBytes = 20; // some proposals are larger
     options.maxMessageEntries = maxMessageEntries;
     options.maxInflightMessages = 3;
     options.maxUncommittedEntries = 12;
