Admit a new flow with the ports of a closed one like any other

Callers saw: a target that drained got the next flow of each caller that opened it from the port of the flow that the target had closed, until it exited.

Cause: AgentSteering::onOffer() took each SYN of a flow in its table for a copy of the SYN that opened it, and gave it to the target before any check: draining, evacuation, warm-up budget, registration, service.

Fix: TargetFlow keeps the caller's initial sequence number. A SYN with another one, for a flow that both ends have closed, erases the entry and is decided as a new flow. The entry goes because another target may take the new flow, and this agent must then deny it. Flows that are open or closed by one end only are left as they are, so that a late copy of an earlier SYN cannot end them.

--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -222,6 +222,10 @@
 void AgentSteering::onOffer(Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
 {
     TargetFlow* known = m_flows.find(packet.flow);
+    if (known && known->isReplacedBy(packet)) {
+        eraseFlow(packet.flow); // another target may take the new flow, so this agent must deny it
+        known = nullptr;
+    }
     bool hasTarget = m_registration.state() != TargetState::Departed && !m_registration.isContested();
     if (known && known->synForwarded && !known->targetEnded && hasTarget) {
         known->entryToNotify = frame.entry;
@@ -288,6 +292,7 @@
     if (!flow)
         return;
     flow->synForwarded = true;
+    flow->callerIsn = packet.sequence;
     flow->connectStart = now - packet.age;
     flow->entryToNotify = frame.entry;
     m_admission.onSynForwarded(packet.flow);
--- a/libs/steering/target_flows.cc
+++ b/libs/steering/target_flows.cc
@@ -121,8 +121,7 @@
 bool TargetFlows::isExpired(const TargetFlow& flow, Time now, Duration idleLimit, Duration closedRetention)
 {
     Duration idleTime = now - flow.lastPacket;
-    bool closed = flow.callerClosed && flow.targetClosed;
-    return ((closed || !flow.answered) && idleTime > closedRetention) || idleTime > idleLimit;
+    return ((flow.isClosed() || !flow.answered) && idleTime > closedRetention) || idleTime > idleLimit;
 }
 
 } // namespace cicadaward::steering
--- a/libs/steering/target_flows.h
+++ b/libs/steering/target_flows.h
@@ -35,6 +35,7 @@
     bool mayHaveEnded = false; // was established when another start of the target was registered
     bool targetEnded = false; // the target has bounced a packet of the flow, which it held before
     uint32_t synMark = 0; // mark of the SYN that opened the flow; 0: not forwarded by this process
+    uint32_t callerIsn = 0; // initial sequence number of the caller, valid when synForwarded
     uint32_t targetIsn = 0; // initial sequence number of the target, from its SYN-ACK
     uint32_t answerEnd
         = 0; // sequence number after the newest data of the target; valid when established or mayHaveEnded
@@ -42,6 +43,10 @@
     Time requestForwarded; // time at which the newest request was forwarded
 
     bool isClosing() const { return callerClosed || targetClosed; }
+    bool isClosed() const { return callerClosed && targetClosed; }
+    // True when the SYN opens a later flow between the same ends. A late copy of an earlier SYN must not do harm, so
+    // this is so only when both ends have closed the flow.
+    bool isReplacedBy(const FlowPacket& syn) const { return isClosed() && syn.sequence != callerIsn; }
     // Updates requestEnd from a packet with data of the caller. Returns false for repeated data.
     bool recordCallerData(const FlowPacket&);
     void recordSynAck(const FlowPacket&);
