Cut the log of the control group by its size too

Operators saw: after some 230 changes of a configuration with 5,700 routes, control processes that were over their memory at each start, so that nothing was served after a kill of all; a group without a leader after two replaced instances; after some 467 changes of 2,840 routes a 503 for each further one.

Before it, at most 256 entries with 4 MiB stay.

--- a/libs/cluster/control_core.cc
+++ b/libs/cluster/control_core.cc
@@ -253,15 +253,29 @@
 {
     for (const LogEntry& entry : action.entries)
         applyEntry(entry);
-    if (m_applied - m_lastSnapshot >= m_options.entriesPerSnapshot) {
-        m_lastSnapshot = m_applied;
-        performActions(m_raft.handle(raft::SnapshotTaken { m_applied, m_state.encode() }));
-    }
+    if (isSnapshotDue())
+        takeSnapshot();
+}
+
+bool ControlCore::isSnapshotDue() const
+{
+    return m_applied - m_lastSnapshot >= m_options.entriesPerSnapshot
+        || m_bytesSinceSnapshot > std::max(m_options.minBytesPerSnapshot, 2 * m_lastSnapshotBytes);
+}
+
+void ControlCore::takeSnapshot()
+{
+    std::string data = m_state.encode();
+    m_lastSnapshot = m_applied;
+    m_lastSnapshotBytes = data.size();
+    m_bytesSinceSnapshot = 0;
+    performActions(m_raft.handle(raft::SnapshotTaken { m_applied, std::move(data) }));
 }
 
 void ControlCore::applyEntry(const LogEntry& entry)
 {
     m_applied = entry.index;
+    m_bytesSinceSnapshot += entry.data.size();
     Command command;
     if (entry.kind == EntryKind::Command && decodeMessage(entry.data, command)) {
         LogIndex before = m_state.index();
@@ -321,6 +335,8 @@
 {
     m_state.decode(action.snapshot.data);
     m_applied = m_lastSnapshot = action.snapshot.index;
+    m_lastSnapshotBytes = action.snapshot.data.size();
+    m_bytesSinceSnapshot = 0;
     m_members.applyRegister(m_state.members());
 }
 
--- a/libs/cluster/control_core.h
+++ b/libs/cluster/control_core.h
@@ -41,7 +41,10 @@
     Duration seedHelloInterval = std::chrono::seconds(2); // between two hellos to seeds outside the group
     Duration registerCheckInterval = std::chrono::seconds(1); // between two register checks without a change
     Duration membershipCheckInterval = std::chrono::milliseconds(200); // between two membership checks
-    LogIndex entriesPerSnapshot = 256; // applied entries between two snapshots
+    // A snapshot is taken after this number of applied entries, or earlier when their data exceeds both this size and
+    // twice the size of the last snapshot. This bounds the log that a start has to read and a new instance to copy.
+    LogIndex entriesPerSnapshot = 256;
+    size_t minBytesPerSnapshot = 4 << 20;
     GroupOptions group;
     raft::RaftOptions consensus;
 };
@@ -147,6 +150,8 @@
     void on(raft::Persist&);
     void on(raft::ApplyEntries&);
     void on(raft::InstallSnapshot&);
+    bool isSnapshotDue() const;
+    void takeSnapshot();
     void on(raft::BecameLeader&);
     void on(raft::BecameFollower&);
     void on(raft::RequestResult&);
@@ -196,6 +201,8 @@
     bool m_performing = false;
     LogIndex m_applied = 0;
     LogIndex m_lastSnapshot = 0;
+    size_t m_lastSnapshotBytes = 0;
+    size_t m_bytesSinceSnapshot = 0; // data of the entries that were applied since the last snapshot
     RequestNumber m_pendingRegisterRequest = 0; // internal request that changes the register; 0: none
     LogIndex m_pendingRegisterIndex = 0; // log index of that request; the maximum until it is accepted
     uint64_t m_checkedTableChange = 0; // version number of the member table at the last check
--- a/libs/cluster/control_core_test.cc
+++ b/libs/cluster/control_core_test.cc
@@ -122,6 +122,26 @@
     }
 }
 
+// Guards against control instances that need more memory for their log than they have, and against new ones that copy
+// it for longer than a group may be without them: the log was cut only after 256 entries, whatever their size.
+TEST_CASE("control: the log of large configurations stays within a few MiB", "[control]")
+{
+    constexpr size_t limit = 10 << 20; // 4 MiB until a snapshot, as much before it, and the entries on their way
+    ThreeInstanceGroup group;
+    auto& leader = group.nodes[group.leader()];
+    for (uint64_t number = 1; number <= 120; ++number) {
+        leader.core->putConfiguration(number, largeConfiguration(number, 3000), std::string(100000, 'x'));
+        group.run(20ms);
+        REQUIRE(leader.answers.at(number).kind == AnswerKind::Done);
+        for (auto& node : group.nodes)
+            REQUIRE(node.core->status().logBytes < limit);
+    }
+    for (auto& node : group.nodes) {
+        CHECK(node.core->status().snapshotIndex > 0);
+        CHECK(node.core->state().routes().version() == 120);
+    }
+}
+
 // Guards against members that don't exist: they would stay in the register for hours and cost a hop in each search.
 TEST_CASE("an announcement counts only from the endpoint that it names or from a control instance", "[core]")
 {
--- a/libs/cluster/group_simulation.cc
+++ b/libs/cluster/group_simulation.cc
@@ -18,6 +18,7 @@
     constexpr size_t maxSmallMessageBytes = 64;
     constexpr size_t maxSmallUncommittedBytes = 8 << 10;
     constexpr LogIndex smallEntriesPerSnapshot = 36;
+    constexpr size_t smallBytesPerSnapshot = 4 << 10;
     constexpr size_t minPadding = 700;
     constexpr size_t maxPadding = 1700;
     // Long enough for the last requests to reach all instances before the final checks.
@@ -197,6 +198,9 @@
     options.consensus.leaseReads = false;
     options.group.toleratedLosses = toleratedLosses;
     options.entriesPerSnapshot = 8 + m_random.below(30);
+    options.minBytesPerSnapshot = seed % 2 ? smallBytesPerSnapshot : options.minBytesPerSnapshot;
+    options.consensus.retainedBytes = seed % 3 ? smallBytesPerSnapshot : options.consensus.retainedBytes;
+    options.consensus.retainedBytesForTransfer = 4 * options.consensus.retainedBytes;
     if (hasSmallDisks) {
         options.entriesPerSnapshot = smallEntriesPerSnapshot;
         options.consensus.maxMessageBytes = maxSmallMessageBytes;
--- a/libs/raft/raft.cc
+++ b/libs/raft/raft.cc
@@ -162,9 +162,9 @@
         = std::make_shared<const LogSnapshot>(LogSnapshot { event.index, m_log.termAt(event.index).value_or(Term()),
             encodeMessage(m_log.configurationAt(event.index)), std::move(event.data) });
     m_snapshotChanged = true;
-    LogIndex retained = event.index > m_options.retainedEntries ? event.index - m_options.retainedEntries : 0;
-    if (retained > m_log.baseIndex())
-        m_log.compact(retained);
+    LogIndex compacted = compactionIndex(event.index);
+    if (compacted > m_log.baseIndex())
+        m_log.compact(compacted);
 }
 
 void Raft::setTerm(Term term, InstanceId vote)
--- a/libs/raft/raft.h
+++ b/libs/raft/raft.h
@@ -45,8 +45,13 @@
     size_t maxUncommittedEntries = 4096;
     size_t maxLogBytes = 64 << 20; // the same, for all entries in memory, until SnapshotTaken compacts the log
     size_t maxSnapshotBytes = 64 << 20;
-    size_t retainedEntries
-        = 256; // entries before a snapshot that stay in memory, so that a slightly lagging follower needs no snapshot
+    // Entries before a snapshot that stay in memory, so that a slightly lagging follower needs no snapshot: at most
+    // this number, with at most these bytes of data.
+    size_t retainedEntries = 256;
+    size_t retainedBytes = 4 << 20;
+    // The same while a follower receives an earlier snapshot: it needs the entries after that one, else it would need
+    // another snapshot as soon as it has this one.
+    size_t retainedBytesForTransfer = 16 << 20;
     size_t maxDeferredMessages = 1024; // messages that wait for Persisted; further ones are dropped
     size_t maxMembers = 15; // voters and learners in a configuration
     // True: canRead() alone permits a read. A restarted instance then grants no vote for one election timeout, because
@@ -188,6 +193,7 @@
     std::vector<LogEntry> entriesOfProbe(const Peer&) const;
     void sendContact(InstanceId id, const LogSnapshot&);
     void sendChunk(InstanceId id, Peer& peer);
+    LogIndex compactionIndex(LogIndex snapshotIndex) const;
     void heartbeat();
     void advanceCommit();
     bool hasActiveQuorum() const;
--- a/libs/raft/raft_log.cc
+++ b/libs/raft/raft_log.cc
@@ -81,6 +81,17 @@
         m_configurations.erase(m_configurations.begin());
 }
 
+LogIndex RaftLog::indexBefore(LogIndex index, size_t count, size_t bytes) const
+{
+    LogIndex before = index;
+    for (size_t used = 0; before > m_baseIndex && index - before < count; --before) {
+        used += entry(before).data.size();
+        if (used > bytes)
+            break;
+    }
+    return before;
+}
+
 size_t RaftLog::bytesAfter(LogIndex index) const
 {
     size_t bytes = 0;
--- a/libs/raft/raft_log.h
+++ b/libs/raft/raft_log.h
@@ -39,6 +39,8 @@
 
     // Size of the data of all entries in memory.
     size_t bytes() const { return m_bytes; }
+    // The lowest index such that the entries after it, up to `index`, are at most `count` with at most `bytes` of data.
+    LogIndex indexBefore(LogIndex index, size_t count, size_t bytes) const;
     // Size of the data of all entries after `index`; linear in their number.
     size_t bytesAfter(LogIndex index) const;
 
--- a/libs/raft/raft_replication.cc
+++ b/libs/raft/raft_replication.cc
@@ -154,6 +154,18 @@
         false);
 }
 
+// The index up to which the log may be compacted after a snapshot.
+LogIndex Raft::compactionIndex(LogIndex snapshotIndex) const
+{
+    LogIndex index = m_log.indexBefore(snapshotIndex, m_options.retainedEntries, m_options.retainedBytes);
+    LogIndex lowest = m_log.indexBefore(snapshotIndex, SIZE_MAX, m_options.retainedBytesForTransfer);
+    for (const auto& [id, peer] : m_peers) {
+        if (peer.mode == SendMode::Snapshot && isActive(peer))
+            index = std::min(index, std::max(peer.snapshot->index, lowest));
+    }
+    return index;
+}
+
 // Handles the term of a message from a leader. Returns false for a leader of an earlier term, which learns the newer
 // term from the reply.
 bool Raft::acceptLeader(InstanceId from, Term term)
--- a/libs/raft/raft_test.cc
+++ b/libs/raft/raft_test.cc
@@ -341,6 +341,25 @@
     CHECK(group.change(MembershipChange::Remove, other.value()) == RequestOutcome::NoQuorum);
 }
 
+TEST_CASE("A snapshot leaves the newest entries before it in the log, by number and by size")
+{
+    RaftOptions options;
+    options.retainedEntries = 5;
+    options.retainedBytes = 100;
+    Group group(1, options);
+    InstanceId leader = group.leader()->self();
+    auto checkRetained = [&](size_t entryBytes, LogIndex retained) {
+        for (int i = 0; i < 10; ++i)
+            group.dispatch(leader, Propose { 1, std::string(entryBytes, 'x') });
+        LogIndex index = group.leader()->status().commitIndex;
+        group.dispatch(leader, SnapshotTaken { index, "state" });
+        CHECK(group.leader()->log().lastIndex() - group.leader()->log().baseIndex() == retained);
+    };
+    checkRetained(10, 5);
+    checkRetained(30, 3);
+    checkRetained(101, 0);
+}
+
 TEST_CASE("A planned stop transfers leadership before the process may exit")
 {
     Group group(3);
--- a/libs/raft/schedule_instance.h
+++ b/libs/raft/schedule_instance.h
@@ -23,6 +23,8 @@
     options.maxInflightMessages = 3;
     options.maxUncommittedEntries = 12;
     options.retainedEntries = 3;
+    options.retainedBytes = 60; // often fewer entries
+    options.retainedBytesForTransfer = 240;
     options.maxDeferredMessages = 16;
     return options;
 }
