--- a/libs/cluster/fragments.cc
+++ b/libs/cluster/fragments.cc
@@ -229,10 +229,10 @@
             evict(i);
         i = next;
     }
-    makeRoom();
+    evictOldest();
 }
 
-void Assembler::makeRoom()
+void Assembler::evictOldest()
 {
     while (m_partialMessages.size() >= maxPartialMessages || m_bytes > maxPartialBytes) {
         evict(std::min_element(m_partialMessages.begin(), m_partialMessages.end(),
--- a/libs/cluster/fragments.h
+++ b/libs/cluster/fragments.h
@@ -72,8 +72,8 @@
     uint64_t incomplete = 0; // dropped because a fragment didn't arrive in time, or for space
 };
 
-// Memory: fragments of at most 4 MiB with their bookkeeping, and the last one that arrived. The oldest messages make
-// room.
+// Memory: fragments of at most 4 MiB with their bookkeeping, and the last one that arrived. Above that, the oldest
+// messages are dropped.
 class Assembler {
 public:
     explicit Assembler(const Clock& clock)
@@ -106,7 +106,7 @@
     void setBytes(PartialMessage&, size_t);
     FragmentRequest requestFor(uint32_t number, const PartialMessage&) const;
     void evictPartialMessages();
-    void makeRoom();
+    void evictOldest();
     void evict(std::map<Key, PartialMessage>::iterator);
 
     const Clock& m_clock;
--- a/libs/cluster/message_transport.h
+++ b/libs/cluster/message_transport.h
@@ -27,7 +27,7 @@
     uint64_t fragmentsResent = 0;
 };
 
-// Memory: the Assembler's, and the newest large messages that were sent, at most 4 MiB or one message.
+// Memory: the Assembler's, and the newest large messages that were sent, at most 4 MiB and the last one.
 class MessageTransport {
 public:
     using SendDatagram = std::function<void(Endpoint to, const std::string& datagram)>;
