--- a/cmake/cicadaward.cmake
+++ b/cmake/cicadaward.cmake
@@ -11,14 +11,17 @@
   target_link_libraries(cicadaward_${name} PUBLIC ${ARG_DEPENDS} Threads::Threads)
 endfunction()
 
-# cicadaward_test(NAME SOURCES ... DEPENDS ...): a Catch2 program NAME, registered with CTest.
+# cicadaward_test(NAME SOURCES ... DEPENDS ... [READS_SOURCES]): a Catch2 program NAME, registered with CTest.
+# READS_SOURCES defines CICADAWARD_SOURCE_DIR. Without it the compiler cache serves checkouts in other folders too.
 add_library(cicadaward_catch_main STATIC ${CMAKE_SOURCE_DIR}/cmake/catch_main.cc)
 function(cicadaward_test name)
-  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "READS_SOURCES" "" "SOURCES;DEPENDS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES})
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/libs)
   target_compile_options(${name} PRIVATE ${CICADAWARD_WARNINGS})
-  target_compile_definitions(${name} PRIVATE CICADAWARD_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+  if(ARG_READS_SOURCES)
+    target_compile_definitions(${name} PRIVATE CICADAWARD_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+  endif()
   target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} cicadaward_catch_main)
   add_test(NAME ${name} COMMAND ${name})
 endfunction()
