Log by which state a flow was offered, and the SYNs of known flows

An offer now carries the index of the entry's state; the lines of both ends name it beside their own, and a SYN of a known flow is a decision (repeated) with a counter. The index travels as a member that counts as visited, in an address no host has: agents of earlier versions pass it on unread, so old and new processes work side by side. It costs 6 bytes an offer. Nothing is decided by it yet.

--- a/daemons/decision_log.cc
+++ b/daemons/decision_log.cc
@@ -81,7 +81,8 @@
     m_log.write(EventId::FlowDecision,
         { { "decision", decisionName(decision) }, { "caller", formatEndpoint(flow.caller) },
             { "address", formatEndpoint(flow.service) }, { "member", formatEndpoint(inputs.member) },
-            { "reason", inputs.reason }, { "version", inputs.version }, { "load", inputs.load } });
+            { "reason", inputs.reason }, { "version", inputs.version }, { "load", inputs.load },
+            { "index", inputs.state.value() }, { "peer-index", inputs.peerState.value() } });
 }
 
 void DecisionLog::onLatency(steering::Latency latency, Duration duration)
--- a/daemons/flow_agent_daemon.cc
+++ b/daemons/flow_agent_daemon.cc
@@ -213,7 +213,7 @@
 
 void FlowAgentDaemon::onState(const cluster::ForwardingState& state)
 {
-    m_steering.setState(steering::RouteTable(state.configuration), state.evacuatedDataCentres);
+    m_steering.setState(StateIndex(state.index), steering::RouteTable(state.configuration), state.evacuatedDataCentres);
     m_base.log->write(EventId::StateTaken,
         { { "index", state.index }, { "version", state.configuration.version },
             { "out", state.evacuatedDataCentres.size() } });
--- a/daemons/flow_entry_daemon.cc
+++ b/daemons/flow_entry_daemon.cc
@@ -130,7 +130,7 @@
 
 void FlowEntryDaemon::onState(const cluster::ForwardingState& state)
 {
-    m_steering.setState(steering::RouteTable(state.configuration), state.evacuatedDataCentres);
+    m_steering.setState(StateIndex(state.index), steering::RouteTable(state.configuration), state.evacuatedDataCentres);
     m_base.log->write(EventId::StateTaken,
         { { "index", state.index }, { "version", state.configuration.version },
             { "routes", state.configuration.routes.size() }, { "out", state.evacuatedDataCentres.size() } });
--- a/libs/core/ids.h
+++ b/libs/core/ids.h
@@ -54,6 +54,9 @@
 // Number of accepted manifests, from 1; 0 before the first.
 using Epoch = Id<struct EpochTag, uint64_t>;
 
+// Position in the replicated log of the command that led to a state; a larger index is always newer, in every process.
+using StateIndex = Id<struct StateIndexTag, uint64_t>;
+
 // Term of the control instances' election.
 using Term = Id<struct TermTag, uint64_t>;
 
--- a/libs/observe/events.cc
+++ b/libs/observe/events.cc
@@ -76,7 +76,8 @@
         { EventId::FlowsRestored, EventLevel::Info, "flows-restored",
             "after a restart, owners and backups reported the flows held here" },
         { EventId::FlowDecision, EventLevel::Info, "flow-decision",
-            "a decision on a flow: caller, service address, member, reason, version of the state, load" },
+            "a decision on a flow: caller, service address, member, reason, version, load, index of the state here, "
+            "and of that of the process that sent the frame" },
         { EventId::DecisionsSuppressed, EventLevel::Warning, "decisions-suppressed",
             "flow decisions beyond the log's rate limit; the counters have them all" },
         { EventId::HeartbeatRefused, EventLevel::Warning, "heartbeat-refused",
--- a/libs/steering/agent_fixture.h
+++ b/libs/steering/agent_fixture.h
@@ -35,7 +35,7 @@
     }
     void makeReady()
     {
-        agent.setState(makeHubRouteTable(), {});
+        agent.setState(StateIndex(1), makeHubRouteTable(), {});
         sendHeartbeat();
     }
     // The agent's process runs for this time.
--- a/libs/steering/agent_heartbeats_test.cc
+++ b/libs/steering/agent_heartbeats_test.cc
@@ -138,7 +138,7 @@
     AgentFixture fixture;
     Configuration other = makeConfiguration(1, {}, { "catalogue" });
     SECTION("before the first state") { }
-    SECTION("after a state that does not name it") { fixture.agent.setState(RouteTable(other), {}); }
+    SECTION("after a state that does not name it") { fixture.agent.setState(StateIndex(1), RouteTable(other), {}); }
     CHECK(fixture.sendHeartbeat() == HeartbeatResult::UnknownService);
     CHECK(fixture.agent.record().service == ServiceKey());
     fixture.clock.advance(1s);
@@ -154,7 +154,7 @@
         fixture.agent.onDeparture("t-1");
         isOld = true;
     }
-    fixture.agent.setState(makeHubRouteTable(2), {});
+    fixture.agent.setState(StateIndex(1), makeHubRouteTable(2), {});
     CHECK(fixture.agent.registration().state() == (isOld ? TargetState::Unknown : TargetState::Ready));
     if (!isOld)
         CHECK(fixture.agent.registration().heartbeatAge() == 1s);
@@ -167,7 +167,7 @@
     fixture.sendHeartbeat();
     fixture.run(1200ms);
     fixture.sendHeartbeat();
-    fixture.agent.setState(makeHubRouteTable(), {});
+    fixture.agent.setState(StateIndex(1), makeHubRouteTable(), {});
     CHECK(fixture.agent.registration().hasSeenStart());
 }
 
@@ -175,7 +175,7 @@
 {
     AgentFixture fixture;
     fixture.makeReady();
-    fixture.agent.setState(RouteTable(makeConfiguration(2, {}, { "catalogue" })), {});
+    fixture.agent.setState(StateIndex(1), RouteTable(makeConfiguration(2, {}, { "catalogue" })), {});
     CHECK(fixture.sendHeartbeat("t-1", 100, true) == HeartbeatResult::Changed);
     CHECK(fixture.agent.record().state == TargetState::Draining);
 }
--- a/libs/steering/agent_requests_test.cc
+++ b/libs/steering/agent_requests_test.cc
@@ -16,7 +16,7 @@
         Route route = makeRoute(serviceAddress, { { hub, 1 } });
         route.objective = 150ms;
         route.timeout = 2000ms;
-        agent.setState(RouteTable(makeConfiguration(1, { route }, { "hub" })), {});
+        agent.setState(StateIndex(1), RouteTable(makeConfiguration(1, { route }, { "hub" })), {});
         sendHeartbeat();
     }
     void open(const FlowId& flow)
--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -41,8 +41,9 @@
     m_record.sequence = 1;
 }
 
-void AgentSteering::setState(RouteTable routes, std::set<std::string> evacuated)
+void AgentSteering::setState(StateIndex state, RouteTable routes, std::set<std::string> evacuated)
 {
+    m_state = state;
     bool wasEvacuated = m_evacuatedDataCentres.count(m_options.dataCentre) != 0;
     bool isEvacuated = evacuated.count(m_options.dataCentre) != 0;
     m_routes = std::move(routes);
@@ -230,6 +231,8 @@
     if (known && known->synForwarded && !known->targetEnded && hasTarget) {
         known->entryToNotify = frame.entry;
         forwardToTarget(frame, packet.flow, data, size); // a retransmitted SYN of a flow that the target has
+        m_observer.onDecision(Decision::Repeated, packet.flow,
+            { frame.entry, "its flow is known", m_routes.version(), 0, m_state, frame.state });
         return;
     }
     ServiceKey ownService = m_registration.lastHeartbeat() ? m_registration.lastHeartbeat()->service : ServiceKey();
@@ -279,7 +282,7 @@
 // ejected members, the comparison of loads selects the one with fewer failures.
 void AgentSteering::passOnEjected(Frame& frame, const FlowPacket& packet, const uint8_t* data, size_t size)
 {
-    if (frame.members.size() < maxFrameMembers)
+    if (frame.members.size() < maxOfferMembers)
         frame.members.push_back(m_options.self);
     passOn(frame, packet, "target is ejected", data, size);
 }
@@ -300,7 +303,8 @@
     frame.shouldCompareLoad = false;
     forwardToTarget(frame, packet.flow, data, size);
     flow->synMark = m_lastMark;
-    m_observer.onDecision(Decision::Accepted, packet.flow, { frame.entry, "", m_routes.version(), ownLoad });
+    m_observer.onDecision(
+        Decision::Accepted, packet.flow, { frame.entry, "", m_routes.version(), ownLoad, m_state, frame.state });
 }
 
 // Sends the frame to the next member, or back to the entry after the last one. When a load was compared, the member
@@ -322,7 +326,8 @@
     }
     encodeFrame(frame, data, size, m_frameBuffer);
     m_output.sendFrame(next, m_frameBuffer);
-    m_observer.onDecision(Decision::PassedOn, packet.flow, { next, reason, m_routes.version() });
+    m_observer.onDecision(
+        Decision::PassedOn, packet.flow, { next, reason, m_routes.version(), 0, m_state, frame.state });
 }
 
 bool AgentSteering::canTargetHold(const FlowId& flow) const
--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -2,7 +2,7 @@
 // time only from the given clock. Not thread-safe.
 //
 //     AgentSteering steering(options, format, clock, observer, output);
-//     steering.setState(routes, evacuated);
+//     steering.setState(index, routes, evacuated);
 //     steering.onHeartbeat(heartbeat);
 //     steering.onFrame(sender, data, size); // from an entry or another agent
 //     steering.onTargetPacket(data, size); // sent or bounced by the target
@@ -59,7 +59,7 @@
 public:
     AgentSteering(AgentOptions, const PacketFormat&, const Clock&, DecisionObserver&, AgentOutput&);
 
-    void setState(RouteTable, std::set<std::string> evacuated);
+    void setState(StateIndex, RouteTable, std::set<std::string> evacuated);
     // A heartbeat of a service that the configuration in force does not name is kept until a configuration names it.
     // All are kept before the first state.
     HeartbeatResult onHeartbeat(const Heartbeat&);
@@ -142,6 +142,7 @@
     const Clock& m_clock;
     DecisionObserver& m_observer;
     AgentOutput& m_output;
+    StateIndex m_state; // 0: none yet
     RouteTable m_routes;
     bool m_hasState = false;
     std::set<std::string> m_evacuatedDataCentres;
--- a/libs/steering/agent_steering_test.cc
+++ b/libs/steering/agent_steering_test.cc
@@ -13,7 +13,7 @@
     CHECK(fixture.output.toTarget.empty());
     CHECK(fixture.lastFrame().kind == FrameKind::Returned);
     CHECK(fixture.lastFrame().mayAcceptLater);
-    fixture.agent.setState(makeHubRouteTable(), {});
+    fixture.agent.setState(StateIndex(1), makeHubRouteTable(), {});
     fixture.offer(testFlow(1));
     CHECK(fixture.output.toTarget.empty());
     fixture.sendHeartbeat();
@@ -76,7 +76,7 @@
     SECTION("the routes that the agent knows do not name the service")
     {
         fixture.makeReady();
-        fixture.agent.setState(
+        fixture.agent.setState(StateIndex(1),
             RouteTable(makeConfiguration(2, { makeRoute(serviceAddress, { { catalogue, 1 } }) }, { "catalogue" })), {});
         fixture.frame(FrameKind::Deliver, dataPacket(testFlow(1)), members);
         CHECK(fixture.lastFrame().isUncertain);
@@ -94,7 +94,7 @@
     size_t atTarget = fixture.output.toTarget.size();
 
     SECTION("draining") { fixture.sendHeartbeat("t-1", 100, true); }
-    SECTION("evacuated") { fixture.agent.setState(makeHubRouteTable(2), { "east" }); }
+    SECTION("evacuated") { fixture.agent.setState(StateIndex(1), makeHubRouteTable(2), { "east" }); }
     SECTION("departed") { fixture.agent.onDeparture("t-1"); }
     SECTION("silent") { fixture.clock.advance(5s); }
     fixture.offer(testFlow(2));
@@ -396,14 +396,14 @@
     configuration.services[0].warmUp = 2s;
     SECTION("start")
     {
-        fixture.agent.setState(RouteTable(configuration), {});
+        fixture.agent.setState(StateIndex(1), RouteTable(configuration), {});
         fixture.sendHeartbeat("t-1", 100, false, 2000ms);
     }
     SECTION("evacuation")
     {
-        fixture.agent.setState(RouteTable(configuration), { "east" });
+        fixture.agent.setState(StateIndex(1), RouteTable(configuration), { "east" });
         fixture.sendHeartbeat();
-        fixture.agent.setState(RouteTable(configuration), {});
+        fixture.agent.setState(StateIndex(1), RouteTable(configuration), {});
     }
     std::vector<Time> taken;
     for (uint16_t i = 0; i < 1890; ++i) {
--- a/libs/steering/decisions.cc
+++ b/libs/steering/decisions.cc
@@ -9,6 +9,8 @@
         return "offered";
     case Decision::Accepted:
         return "accepted";
+    case Decision::Repeated:
+        return "repeated";
     case Decision::Waiting:
         return "waiting";
     case Decision::PassedOn:
--- a/libs/steering/decisions.h
+++ b/libs/steering/decisions.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/ids.h"
 #include "steering/flow_packet.h"
 
 #include <string>
@@ -11,6 +12,7 @@
 enum class Decision : uint8_t {
     Offered, // an entry sent the SYN of a new flow to the first member
     Accepted, // an agent forwarded a new flow to its target
+    Repeated, // an agent gave its target another copy of the SYN of a flow that it knows
     Waiting, // a request is queued for a free slot of the target, or a packet for the first state of the entry
     PassedOn, // an agent forwarded a packet to the next member
     Searched, // an entry started or continued a search for the agent of a flow
@@ -40,13 +42,15 @@
 
 const char* latencyName(Latency);
 
-// The inputs of a decision: the member or target concerned, the reason, the version of the configuration in force, and
-// the load of the target.
+// The inputs of a decision: the member or target concerned, the reason, the version of the configuration in force, the
+// load of the target, the state of the process, and that of the process that sent the frame.
 struct DecisionInputs {
     Endpoint member;
     const char* reason = "";
     uint64_t version = 0;
     uint32_t load = 0;
+    StateIndex state {};
+    StateIndex peerState {}; // 0: no frame, or one that does not name it
 };
 
 // Called on the event loop's thread for each decision and latency; must not block.
--- a/libs/steering/early_packets_test.cc
+++ b/libs/steering/early_packets_test.cc
@@ -60,7 +60,7 @@
     CHECK(fixture.observer.count(Decision::NoRoute) == 0);
 
     fixture.clock.advance(300ms);
-    fixture.entry.setState(makeHubRouteTable(), {});
+    fixture.entry.setState(StateIndex(1), makeHubRouteTable(), {});
     fixture.entry.onTick();
     CHECK(fixture.output.frames.empty()); // routes alone are not enough: there is no member yet
     fixture.entry.members().update(testMember(1));
@@ -79,7 +79,7 @@
     EntryWithoutState fixture;
     fixture.packet(synPacket(testFlow(1)));
     CHECK(fixture.observer.count(Decision::NoRoute) == 1);
-    fixture.entry.setState(makeHubRouteTable(), {});
+    fixture.entry.setState(StateIndex(1), makeHubRouteTable(), {});
     fixture.entry.members().update(testMember(1));
     fixture.entry.onTick();
     CHECK(fixture.output.frames.empty());
@@ -96,7 +96,7 @@
     fixture.clock.advance(1ms);
     fixture.entry.onTick();
     CHECK(fixture.observer.count(Decision::NoRoute) == 1);
-    fixture.entry.setState(makeHubRouteTable(), {});
+    fixture.entry.setState(StateIndex(1), makeHubRouteTable(), {});
     fixture.entry.members().update(testMember(1));
     fixture.entry.onTick();
     CHECK(fixture.output.frames.empty());
--- a/libs/steering/entry_steering.cc
+++ b/libs/steering/entry_steering.cc
@@ -10,7 +10,7 @@
 namespace {
 
     // Members that a new flow is offered to. With more, a caller would wait longer than its latency objective.
-    constexpr size_t maxOfferMembers = 8;
+    constexpr size_t maxCandidates = 8;
     // Bounds the list of pending offers. Offers beyond it are not tracked, so they never count as unanswered.
     constexpr size_t maxPendingOffers = 4096;
     constexpr size_t maxDenied = 4096;
@@ -36,8 +36,9 @@
 {
 }
 
-void EntrySteering::setState(RouteTable routes, std::set<std::string> evacuated)
+void EntrySteering::setState(StateIndex state, RouteTable routes, std::set<std::string> evacuated)
 {
+    m_state = state;
     m_routes = std::move(routes);
     m_evacuated = std::move(evacuated);
 }
@@ -83,7 +84,7 @@
     }
     uint64_t hash = packet.flow.hash();
     ServiceKey service = route->selectService(hash);
-    std::vector<Endpoint> candidates = m_members.candidatesForNewFlow(hash, service, m_evacuated, maxOfferMembers);
+    std::vector<Endpoint> candidates = m_members.candidatesForNewFlow(hash, service, m_evacuated, maxCandidates);
     if (candidates.empty() && !m_members.hasMembersOf(service)) {
         m_observer.onDecision(Decision::Unready, packet.flow, { {}, "no member is known yet", m_routes.version() });
         return;
@@ -100,6 +101,7 @@
     frame.shouldCompareLoad = packet.synRetransmission == 0 && candidates.size() > 1;
     frame.nextPosition = 1;
     frame.service = service;
+    frame.state = m_state;
     frame.entry = m_options.self;
     CachedFlow* cachedFlow = findOrAddFlow(packet.flow);
     if (cachedFlow && packet.synRetransmission == 0)
@@ -117,7 +119,8 @@
         m_offers.push_back(
             { packet.flow, frame.members[0], frame.shouldCompareLoad ? second : Endpoint(), m_clock.now() });
     send(frame.members[0], frame, data, size);
-    m_observer.onDecision(Decision::Offered, packet.flow, { frame.members[0], "", m_routes.version() });
+    m_observer.onDecision(
+        Decision::Offered, packet.flow, { frame.members[0], "", m_routes.version(), 0, m_state });
 }
 
 void EntrySteering::onNonSyn(const FlowPacket& packet, const uint8_t* data, size_t size)
--- a/libs/steering/entry_steering.h
+++ b/libs/steering/entry_steering.h
@@ -2,7 +2,7 @@
 // output. Not thread-safe.
 //
 //     EntrySteering steering(options, format, clock, observer, output);
-//     steering.setState(routes, evacuated);
+//     steering.setState(index, routes, evacuated);
 //     steering.members().update(record);
 //     steering.onCallerPacket(data, size);
 //     steering.onFrame(agent, data, size);
@@ -59,8 +59,9 @@
 public:
     EntrySteering(EntryOptions, const PacketFormat&, const Clock&, DecisionObserver&, EntryOutput&);
 
-    // Replaces the routes and the evacuated data centres. Open flows stay at their targets.
-    void setState(RouteTable, std::set<std::string> evacuated);
+    // Replaces the routes and the evacuated data centres by those of the replicated state with this index. Open flows
+    // stay at their targets.
+    void setState(StateIndex, RouteTable, std::set<std::string> evacuated);
     const RouteTable& routes() const { return m_routes; }
     Members& members() { return m_members; }
     // True when there are routes and at least one member.
@@ -138,6 +139,7 @@
     const Clock& m_clock;
     DecisionObserver& m_observer;
     EntryOutput& m_output;
+    StateIndex m_state; // 0: none yet
     RouteTable m_routes;
     std::set<std::string> m_evacuated;
     Members m_members;
--- a/libs/steering/entry_steering_test.cc
+++ b/libs/steering/entry_steering_test.cc
@@ -11,7 +11,7 @@
 struct EntryFixture : EntryWithoutState {
     EntryFixture()
     {
-        entry.setState(makeHubRouteTable(), {});
+        entry.setState(StateIndex(1), makeHubRouteTable(), {});
         for (uint32_t i = 1; i <= 4; ++i)
             entry.members().update(testMember(i));
     }
@@ -85,7 +85,7 @@
     CHECK(fixture.output.toCaller.empty());
 
     EntryFixture empty;
-    empty.entry.setState(
+    empty.entry.setState(StateIndex(1),
         RouteTable(makeConfiguration(1, { makeRoute(serviceAddress, { { catalogue, 1 } }) }, { "catalogue" })), {});
     empty.packet(synPacket(testFlow(1)));
     CHECK(empty.output.toCaller.empty());
@@ -161,7 +161,7 @@
     {
         fixture.returned(search.members.back(), search, head);
         fixture.entry.members().update(testMember(9, catalogue));
-        fixture.entry.setState(
+        fixture.entry.setState(StateIndex(1),
             RouteTable(makeConfiguration(
                 2, { makeRoute(serviceAddress, { { hub, 1 }, { catalogue, 1 } }) }, { "hub", "catalogue" })),
             {});
@@ -172,7 +172,7 @@
         Route route = makeRoute(serviceAddress, { { hub, 1 } });
         for (size_t i = 0; i < maxFormerServices; ++i)
             route.formerServices.push_back(serviceKey("former-" + std::to_string(i)));
-        fixture.entry.setState(RouteTable(makeConfiguration(2, { route }, { "hub" })), {});
+        fixture.entry.setState(StateIndex(1), RouteTable(makeConfiguration(2, { route }, { "hub" })), {});
     }
     fixture.clock.advance(5ms);
     fixture.entry.onMembersConfirmed(fixture.clock.now());
--- a/libs/steering/fabric_faults.cc
+++ b/libs/steering/fabric_faults.cc
@@ -222,7 +222,7 @@
     EntryNode& entry = *m_entries[index];
     m_faults[index] = {};
     entry.start();
-    entry.steering->setState(m_routes, m_evacuated);
+    entry.steering->setState(StateIndex(1), m_routes, m_evacuated);
     for (auto& other : m_agents)
         announce(*other, entry);
 }
@@ -255,7 +255,7 @@
     for (auto& [port, flow] : m_flows)
         flow.misdelivered = flow.target == index ? 0 : flow.misdelivered;
     m_agents[index]->start();
-    m_agents[index]->steering->setState(m_agents[index]->routes, m_evacuated);
+    m_agents[index]->steering->setState(StateIndex(1), m_agents[index]->routes, m_evacuated);
 }
 
 void Fabric::simulatePowerLoss()
@@ -268,7 +268,7 @@
     for (auto& entry : m_entries) {
         entry->start(); // packets of callers may arrive before its state
         if (m_random.below(2) == 0)
-            entry->steering->setState(m_routes, m_evacuated);
+            entry->steering->setState(StateIndex(1), m_routes, m_evacuated);
     }
     m_confirmations.clear();
 }
--- a/libs/steering/fabric_simulation.cc
+++ b/libs/steering/fabric_simulation.cc
@@ -367,11 +367,11 @@
     for (auto& agent : m_agents) {
         if (all || m_random.below(3) != 0 || agent->routes.version() == 0)
             agent->routes = m_routes;
-        agent->steering->setState(agent->routes, m_evacuated);
+        agent->steering->setState(StateIndex(1), agent->routes, m_evacuated);
     }
     for (auto& entry : m_entries) {
         if (all || m_random.below(3) != 0 || !entry->steering->isReady())
-            entry->steering->setState(m_routes, m_evacuated);
+            entry->steering->setState(StateIndex(1), m_routes, m_evacuated);
     }
 }
 
@@ -412,7 +412,7 @@
         if (!isWorkingEntry)
             continue;
         if (confirmation.routes.version() > entry.routes().version())
-            entry.setState(confirmation.routes, m_evacuated);
+            entry.setState(StateIndex(1), confirmation.routes, m_evacuated);
         for (auto& [agent, registered] : confirmation.members) {
             MemberRecord record = registered;
             record.state = TargetState::Unknown;
--- a/libs/steering/frame.cc
+++ b/libs/steering/frame.cc
@@ -1,6 +1,8 @@
 // Encoder and decoder of frames. Input comes from the network: the decoder checks every length and position.
 #include "steering/frame.h"
 
+#include <algorithm>
+
 namespace cicadaward::steering {
 
 namespace {
@@ -34,6 +36,48 @@
         return value;
     }
 
+    constexpr uint32_t stateAddressMask = 0xFF000000; // of an Endpoint::address; 0: the endpoint is a state index
+    constexpr int stateAddressShift = 16; // bits of the index in the port
+
+    Endpoint stateEndpoint(StateIndex state)
+    {
+        return { static_cast<uint32_t>(state.value() >> stateAddressShift), static_cast<uint16_t>(state.value()) };
+    }
+
+    bool isStateEndpoint(Endpoint endpoint) { return (endpoint.address & stateAddressMask) == 0; }
+
+    StateIndex stateOf(Endpoint endpoint)
+    {
+        return StateIndex((uint64_t(endpoint.address) << stateAddressShift) | endpoint.port);
+    }
+
+    bool hasState(const Frame& frame)
+    {
+        bool mayHaveState = frame.kind == FrameKind::Offer || frame.kind == FrameKind::Returned;
+        return mayHaveState && frame.state != StateIndex() && frame.state <= maxFrameStateIndex
+            && frame.members.size() < maxFrameMembers;
+    }
+
+    // Removes the state index from the front of the members. Returns false when it is not where encodeFrame() puts it.
+    bool takeState(Frame& frame)
+    {
+        frame.state = {};
+        auto isState = [](Endpoint member) { return isStateEndpoint(member); };
+        if (std::none_of(frame.members.begin(), frame.members.end(), isState))
+            return true;
+        bool isOffer = frame.kind == FrameKind::Offer || frame.kind == FrameKind::Returned;
+        bool isOnlyFirst
+            = isState(frame.members[0]) && std::none_of(frame.members.begin() + 1, frame.members.end(), isState);
+        if (!isOffer || !isOnlyFirst || frame.nextPosition == 0 || frame.leastLoadedPosition == 0)
+            return false;
+        frame.state = stateOf(frame.members[0]);
+        frame.members.erase(frame.members.begin());
+        --frame.nextPosition;
+        if (frame.leastLoadedPosition != noPosition)
+            --frame.leastLoadedPosition;
+        return frame.state != StateIndex();
+    }
+
     void appendEndpoint(std::vector<uint8_t>& out, Endpoint endpoint)
     {
         appendBigEndian(out, endpoint.address);
@@ -53,16 +97,20 @@
 void encodeFrame(const Frame& frame, const uint8_t* packet, size_t packetSize, std::vector<uint8_t>& out)
 {
     out.clear();
-    out.reserve(fixedHeaderBytes + endpointBytes * frame.members.size() + packetSize);
+    out.reserve(fixedHeaderBytes + endpointBytes * (frame.members.size() + 1) + packetSize);
     appendBigEndian(out, frameMagic);
     appendBigEndian(out, static_cast<uint8_t>(frame.kind));
     appendBigEndian(out, flagsOf(frame));
-    appendBigEndian(out, frame.nextPosition);
-    appendBigEndian(out, frame.leastLoadedPosition);
+    uint8_t added = hasState(frame) ? 1 : 0;
+    bool hasLeastLoaded = frame.leastLoadedPosition != noPosition;
+    appendBigEndian(out, static_cast<uint8_t>(frame.nextPosition + added));
+    appendBigEndian(out, static_cast<uint8_t>(frame.leastLoadedPosition + (hasLeastLoaded ? added : 0)));
     appendBigEndian(out, frame.lowestLoad);
     appendBigEndian(out, frame.service.value());
     appendEndpoint(out, frame.entry);
-    appendBigEndian(out, static_cast<uint8_t>(frame.members.size()));
+    appendBigEndian(out, static_cast<uint8_t>(frame.members.size() + added));
+    if (added != 0)
+        appendEndpoint(out, stateEndpoint(frame.state));
     for (Endpoint member : frame.members)
         appendEndpoint(out, member);
     out.insert(out.end(), packet, packet + packetSize);
@@ -96,6 +144,8 @@
     frame.members.clear();
     for (size_t i = 0; i < count; ++i)
         frame.members.push_back(readEndpoint(at));
+    if (!takeState(frame))
+        return std::nullopt;
     return static_cast<size_t>(at - data);
 }
 
--- a/libs/steering/frame.h
+++ b/libs/steering/frame.h
@@ -4,8 +4,12 @@
 // The frame carries the list, so an agent needs no member table to forward a packet, and a frame visits each member at
 // most once more than it is listed. Layout (field and bytes, big endian): magic 2, kind 1, flags 1, next position 1,
 // least loaded position 1, lowest load 2, service 8, entry 6, member count 1, members 6 each; then the packet.
+//
+// The state index of an offer is encoded as a first member that counts as visited, in an address that no host can have
+// (0.0.0.0/8). Versions before the index pass it on unread, so they work together with later ones.
 #pragma once
 
+#include "core/ids.h"
 #include "steering/flow_packet.h"
 #include "steering/route_table.h"
 
@@ -25,6 +29,8 @@
 };
 
 constexpr size_t maxFrameMembers = 64;
+constexpr size_t maxOfferMembers = maxFrameMembers - 1; // the state index takes the place of one
+constexpr StateIndex maxFrameStateIndex { (uint64_t(1) << 40) - 1 }; // a larger one is not encoded
 constexpr uint8_t noPosition = 0xff; // value of leastLoadedPosition when no load is known
 
 struct Frame {
@@ -40,6 +46,7 @@
     uint8_t leastLoadedPosition = noPosition; // position of the visited member with the lowest load
     uint16_t lowestLoad = 0; // see AgentSteering::load()
     ServiceKey service;
+    StateIndex state; // Offer, Returned: of the entry's state when it offered the flow; 0: unknown
     Endpoint entry; // the entry that receives the Returned or Located answer
     absl::InlinedVector<Endpoint, 4> members;
 };
--- a/libs/steering/outlier_detector_test.cc
+++ b/libs/steering/outlier_detector_test.cc
@@ -35,7 +35,7 @@
         Route reads = orders;
         reads.address = readAddress;
         reads.isIdempotent = true;
-        agent.setState(RouteTable(makeConfiguration(1, { orders, reads }, { "hub" })), {});
+        agent.setState(StateIndex(1), RouteTable(makeConfiguration(1, { orders, reads }, { "hub" })), {});
         sendHeartbeat();
     }
     static FlowId flowOf(uint16_t number, Endpoint address = serviceAddress)
--- a/libs/steering/overload_test.cc
+++ b/libs/steering/overload_test.cc
@@ -48,7 +48,7 @@
         Route route = makeRoute(serviceAddress, { { hub, 1 } });
         route.objective = std::chrono::duration_cast<std::chrono::milliseconds>(objective);
         route.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
-        m_agent.setState(RouteTable(makeConfiguration(1, { route }, { "hub" })), {});
+        m_agent.setState(StateIndex(1), RouteTable(makeConfiguration(1, { route }, { "hub" })), {});
         sendHeartbeat();
     }
 
--- a/libs/steering/port_reuse_test.cc
+++ b/libs/steering/port_reuse_test.cc
@@ -64,7 +64,7 @@
         CHECK(fixture.isAtTarget(before + 1));
     }
     SECTION("the target drains") { fixture.sendHeartbeat("t-1", 100, true); }
-    SECTION("its data centre is evacuated") { fixture.agent.setState(makeHubRouteTable(2), { "east" }); }
+    SECTION("its data centre is evacuated") { fixture.agent.setState(StateIndex(1), makeHubRouteTable(2), { "east" }); }
     if (fixture.output.toTarget.size() != before)
         return;
     fixture.offerWith(laterIsn);
--- a/libs/steering/search_measurement.cc
+++ b/libs/steering/search_measurement.cc
@@ -51,7 +51,7 @@
         , m_entryOutput(*this, 0)
         , m_entry(entryOptions(), m_format, m_clock, m_observer, m_entryOutput)
     {
-        m_entry.setState(makeHubRouteTable(), {});
+        m_entry.setState(StateIndex(1), makeHubRouteTable(), {});
         for (uint32_t i = 1; i <= count; ++i) {
             m_entry.members().update(testMember(i));
             m_agents.push_back(std::make_unique<Agent>(*this, i, which == Case::RestartedAgents));
@@ -126,7 +126,7 @@
             : output(world, number)
             , steering(options(number), world.m_format, world.m_clock, world.m_observer, output)
         {
-            steering.setState(makeHubRouteTable(), {});
+            steering.setState(StateIndex(1), makeHubRouteTable(), {});
             Heartbeat heartbeat;
             heartbeat.id = "t-" + std::to_string(number);
             heartbeat.service = hub;
--- a/libs/steering/target_fault_simulation.cc
+++ b/libs/steering/target_fault_simulation.cc
@@ -57,10 +57,10 @@
     feeds.address = feedAddress;
     feeds.isIdempotent = true;
     RouteTable routes(makeConfiguration(1, { orders, feeds }, { "hub" }));
-    m_entry->setState(routes, {});
+    m_entry->setState(StateIndex(1), routes, {});
     for (size_t i = 0; i < workload.targets; ++i) {
         m_agents.push_back(std::make_unique<AgentNode>(*this, i));
-        m_agents.back()->steering.setState(routes, {});
+        m_agents.back()->steering.setState(StateIndex(1), routes, {});
     }
     sendHeartbeats();
     for (size_t i = 0; i < workload.feeds; ++i)
