Show that one entry that is behind gives new flows to the old service

Fails on this code: an agent compares the service of an offer with that of its own target and never with its own routes, so a flow that an entry offers by an older state runs at the service that its route had before, although every agent has the newer state.

--- a/libs/steering/offer_state_test.cc
+++ b/libs/steering/offer_state_test.cc
@@ -81,3 +81,68 @@
         CHECK(isRefused());
     }
 }
+
+namespace {
+
+// An agent of a target of hub, with the state of index 5.
+struct OfferFixture : AgentFixture {
+    OfferFixture() { makeReady(); }
+    void setServices(std::vector<WeightedService> services)
+    {
+        agent.setState(StateIndex(5),
+            RouteTable(
+                makeConfiguration(2, { makeRoute(serviceAddress, std::move(services)) }, { "hub", "catalogue" })),
+            {});
+    }
+    void dropRoute() { agent.setState(StateIndex(5), RouteTable(makeConfiguration(2, {}, { "hub" })), {}); }
+    // Returns whether the target got the flow.
+    bool isAdmitted(StateIndex offeredBy)
+    {
+        size_t before = output.toTarget.size();
+        send(offerBy(offeredBy), synPacket(testFlow(1)));
+        return output.toTarget.size() > before;
+    }
+};
+
+} // namespace
+
+// Guards against a new flow at the service that its route had before, through an entry that is behind.
+TEST_CASE("offer: an agent with a newer state denies a flow whose route does not name its service", "[offer]")
+{
+    OfferFixture fixture;
+    SECTION("the route moved") { fixture.setServices({ { catalogue, 1 } }); }
+    SECTION("no new flow is to go to the service") { fixture.setServices({ { hub, 0 }, { catalogue, 1 } }); }
+    SECTION("the route was dropped") { fixture.dropRoute(); }
+    CHECK(!fixture.isAdmitted(StateIndex(4)));
+    Frame answer = fixture.lastFrame();
+    CHECK(answer.kind == FrameKind::Returned); // the other members were chosen by the same old state
+    CHECK(answer.mayAcceptLater);
+    CHECK(fixture.output.frames.back().to == entryEndpoint);
+}
+
+TEST_CASE("offer: a flow is admitted as before unless the agent's state is newer and excludes its service", "[offer]")
+{
+    OfferFixture fixture;
+    SECTION("the weights changed")
+    {
+        fixture.setServices({ { hub, 10 }, { catalogue, 90 } });
+        CHECK(fixture.isAdmitted(StateIndex(4)));
+    }
+    SECTION("by the same state, a newer one, or an entry of a version that does not name it")
+    {
+        fixture.setServices({ { catalogue, 1 } });
+        StateIndex offeredBy = GENERATE(StateIndex(5), StateIndex(6), StateIndex());
+        CHECK(fixture.isAdmitted(offeredBy));
+    }
+}
+
+TEST_CASE("offer: a route that moved leaves the open flows and the copies of their SYNs at their target", "[offer]")
+{
+    OfferFixture fixture;
+    CHECK(fixture.isAdmitted(StateIndex(4)));
+    fixture.setServices({ { catalogue, 1 } });
+    CHECK(fixture.isAdmitted(StateIndex(4)));
+    size_t before = fixture.output.toTarget.size();
+    fixture.frame(FrameKind::Deliver, dataPacket(testFlow(1)), { AgentFixture::options().self });
+    CHECK(fixture.output.toTarget.size() == before + 1);
+}
