Deny new flows that an entry offers by an older state

Cause: the entry names the service of a new flow, and the agent compared it with the service of its target only. So the oldest state on the path decided, though the last hop had the newest one.

Change: an agent whose state is newer than the one by which the flow was offered admits the flow only if its own routes still give new flows of the address to that service. Otherwise the offer goes straight back with the agent's index. The entry requests that state at once (Poller::onNewerState) and offers the SYN again when it has it, unless the caller's next copy is due. An agent that gets an offer by a newer state requests it as well. An index that no state can have is refused and counted. Both ends count and log a denial with both indices (decision outdated). Entries of earlier versions, whose offers carry no index, are treated as before, and read a denial as one to wait for the next copy.

--- a/daemons/decision_log.cc
+++ b/daemons/decision_log.cc
@@ -12,6 +12,7 @@
     {
         switch (decision) {
         case steering::Decision::Refused:
+        case steering::Decision::Outdated:
         case steering::Decision::Reset:
         case steering::Decision::NotHeld:
         case steering::Decision::TableFull:
--- a/daemons/flow_agent_daemon.cc
+++ b/daemons/flow_agent_daemon.cc
@@ -206,6 +206,8 @@
     m_peers.sendDatagram({ flow.caller.address, m_callerPort }, packet, size);
 }
 
+void FlowAgentDaemon::newerStateSeen(StateIndex index) { m_poller.onNewerState(index.value()); }
+
 void FlowAgentDaemon::sendMessage(Endpoint control, const cluster::Envelope& envelope)
 {
     m_peers.send(control, envelope);
--- a/daemons/flow_agent_daemon.h
+++ b/daemons/flow_agent_daemon.h
@@ -21,6 +21,7 @@
     void sendFrame(Endpoint to, const std::vector<uint8_t>& frame) override;
     void sendToTarget(const uint8_t* packet, size_t size) override;
     void sendToCaller(const steering::FlowId&, const uint8_t* packet, size_t size) override;
+    void newerStateSeen(StateIndex) override;
     void sendMessage(Endpoint control, const cluster::Envelope&) override;
     void onState(const cluster::ForwardingState&) override;
     void onKnownIncarnation(uint64_t incarnation) override { m_steering.raiseIncarnationAbove(incarnation); }
--- a/daemons/flow_entry_daemon.cc
+++ b/daemons/flow_entry_daemon.cc
@@ -123,6 +123,8 @@
     m_fabric.send({ flow.caller.address, m_callerPort }, packet.data(), packet.size());
 }
 
+void FlowEntryDaemon::newerStateSeen(StateIndex index) { m_poller.onNewerState(index.value()); }
+
 void FlowEntryDaemon::sendMessage(Endpoint control, const cluster::Envelope& envelope)
 {
     m_peers.send(control, envelope);
--- a/daemons/flow_entry_daemon.h
+++ b/daemons/flow_entry_daemon.h
@@ -28,6 +28,7 @@
     void onSilentMember(Endpoint agent) override;
     steering::MemberDigest memberDigest() override { return m_steering.members().digest(); }
     void confirmMembers() override { m_poller.confirmMembers(); }
+    void newerStateSeen(StateIndex) override;
     void membersConfirmed(Time asked) override { m_steering.onMembersConfirmed(asked); }
     void contactLost() override;
     void contactRenewed() override;
--- a/libs/cluster/poller.cc
+++ b/libs/cluster/poller.cc
@@ -175,7 +175,7 @@
     if (envelope.kind == MessageKind::PollReply && decodeMessage(envelope.body, reply))
         onReply(sender, reply);
     else if (envelope.kind == MessageKind::StateNotice && decodeMessage(envelope.body, notice))
-        onNotice(sender, notice);
+        onNewerState(notice.stateIndex, sender);
     else
         return false;
     return true;
@@ -261,13 +261,14 @@
     return state;
 }
 
-// Sends only one poll for each index, because two instances notify each poller.
-void Poller::onNotice(Endpoint sender, const StateNotice& notice)
+// Sends only one poll for each index, because two instances notify each poller. `source` has the state; without it, any
+// control instance is asked.
+void Poller::onNewerState(LogIndex index, std::optional<Endpoint> source)
 {
-    bool isNew = notice.stateIndex > heardIndex();
-    hear(notice.stateIndex);
-    if (isNew)
-        poll(sender, 0);
+    bool isNew = index > heardIndex();
+    hear(index);
+    if (isNew && (source || !m_controls.empty()))
+        poll(source ? *source : nextSource(), 0);
 }
 
 void Poller::hear(LogIndex index)
--- a/libs/cluster/poller.h
+++ b/libs/cluster/poller.h
@@ -83,6 +83,8 @@
     void pollAll();
     // Requests a call of membersConfirmed(), unless one was requested within minConfirmationInterval.
     void confirmMembers();
+    // Another process has a state of this index. Polls at once when it is newer than any that was named before.
+    void onNewerState(LogIndex index) { onNewerState(index, {}); }
     // Sets control instances that were discovered by other means. A reply with a state replaces them.
     void updateControls(const std::vector<Endpoint>& controls) { updateControls(0, controls); }
 
@@ -106,7 +108,7 @@
     std::optional<ForwardingState> stateFrom(const PollReply&) const;
     void applyMembers(Endpoint sender, const PollReply&);
     void onConfirmation(const PollReply&);
-    void onNotice(Endpoint sender, const StateNotice&);
+    void onNewerState(LogIndex, std::optional<Endpoint> source);
     bool isBehind() const { return m_state.index != 0 && m_heardIndex > m_state.index; }
     void hear(LogIndex);
     void reportBehind();
--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -220,8 +220,39 @@
     return nullptr;
 }
 
+// The routes of the newer state decide about a new flow. With weights, each service that gets new flows is allowed,
+// because the entry's choice by older weights is also one by the newer ones.
+bool AgentSteering::isOutdated(const Frame& frame, const FlowPacket& packet) const
+{
+    if (frame.state == StateIndex() || frame.state >= m_state)
+        return false;
+    const Route* route = m_routes.find(packet.flow.service);
+    return !route || !route->takesNewFlows(frame.service);
+}
+
+// The frame goes straight back to the entry: the other members were chosen by the same state, and their agents may be
+// behind too.
+void AgentSteering::denyOutdated(Frame& frame, const FlowPacket& packet, const uint8_t* data, size_t size)
+{
+    m_observer.onDecision(Decision::Outdated, packet.flow,
+        { frame.entry, "offered by an older state", m_routes.version(), 0, m_state, frame.state });
+    frame.kind = FrameKind::Returned;
+    frame.isOutdated = true;
+    frame.mayAcceptLater = true; // entries of earlier versions know this one only, and wait for the next copy
+    frame.state = m_state;
+    encodeFrame(frame, data, size, m_frameBuffer);
+    m_output.sendFrame(frame.entry, m_frameBuffer);
+}
+
 void AgentSteering::onOffer(Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
 {
+    if (m_hasState && frame.state > StateIndex(m_state.value() + maxStateLead)) {
+        m_observer.onDecision(Decision::Malformed, packet.flow,
+            { frame.entry, "impossible state index", m_routes.version(), 0, m_state, frame.state });
+        return;
+    }
+    if (frame.state > m_state)
+        m_output.newerStateSeen(frame.state);
     TargetFlow* known = m_flows.find(packet.flow);
     if (known && known->isReplacedBy(packet)) {
         eraseFlow(packet.flow); // another target may take the new flow, so this agent must deny it
@@ -235,6 +266,10 @@
             { frame.entry, "its flow is known", m_routes.version(), 0, m_state, frame.state });
         return;
     }
+    if (isOutdated(frame, packet)) {
+        denyOutdated(frame, packet, data, size);
+        return;
+    }
     ServiceKey ownService = m_registration.lastHeartbeat() ? m_registration.lastHeartbeat()->service : ServiceKey();
     const char* reason = frame.service != ownService ? "target runs another service" : refusalReason(packet.flow);
     if (reason) {
--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -12,8 +12,9 @@
 // Every new flow and every request of the target passes through its agent, whichever entry sent it. The agent therefore
 // enforces draining, evacuation and the warm-up budget across all entries, and queues the requests beyond the target's
 // slots in the order of RequestQueue. The flow table holds only the flows that this process has seen; the target is the
-// authority on which flows it holds. A flow is reset because its target has ended only when the target has bounced a
-// packet of it after another start was announced.
+// authority on which flows it holds. An entry names the service of a new flow; an agent whose state is newer than that
+// of the entry admits it only if its own routes name the service too. A flow is reset because its target has ended only
+// when the target has bounced a packet of it after another start was announced.
 //
 // Memory: about 150 bytes for each of at most `maxFlows` flows, about 100 bytes for each of `forwardedPacketSlots`
 // frame heads, and the RequestQueue.
@@ -53,6 +54,8 @@
     virtual void sendFrame(Endpoint to, const std::vector<uint8_t>& frame) = 0;
     virtual void sendToTarget(const uint8_t* packet, size_t size) = 0;
     virtual void sendToCaller(const FlowId&, const uint8_t* packet, size_t size) = 0;
+    // An entry has a newer state than this process, which should request it.
+    virtual void newerStateSeen(StateIndex) { }
 };
 
 class AgentSteering {
@@ -107,6 +110,8 @@
 
     const char* refusalReason(const FlowId&);
     void onOffer(Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    bool isOutdated(const Frame&, const FlowPacket&) const;
+    void denyOutdated(Frame&, const FlowPacket&, const uint8_t* data, size_t size);
     void accept(Frame&, const FlowPacket&, uint8_t* data, size_t size);
     bool isLastResort(const Frame&) const;
     void passOnEjected(Frame&, const FlowPacket&, const uint8_t* data, size_t size);
--- a/libs/steering/decisions.cc
+++ b/libs/steering/decisions.cc
@@ -25,6 +25,8 @@
         return "located";
     case Decision::Refused:
         return "refused";
+    case Decision::Outdated:
+        return "outdated";
     case Decision::Reset:
         return "reset";
     case Decision::NoRoute:
--- a/libs/steering/decisions.h
+++ b/libs/steering/decisions.h
@@ -20,6 +20,7 @@
     Tried, // an agent gave a packet to its target without knowing whether the target holds the flow
     Located, // an agent told the entry that its target holds the flow
     Refused, // no member accepts the new flow
+    Outdated, // an agent denied an offer that its newer state excludes, or an entry got such a denial
     Reset, // the flow is reset: its target has ended or no target holds it
     NoRoute,
     NotHeld, // no member holds the flow
--- a/libs/steering/entry_steering.cc
+++ b/libs/steering/entry_steering.cc
@@ -14,6 +14,7 @@
     // Bounds the list of pending offers. Offers beyond it are not tracked, so they never count as unanswered.
     constexpr size_t maxPendingOffers = 4096;
     constexpr size_t maxDenied = 4096;
+    constexpr size_t maxOutdatedOffers = 1024; // further ones wait for the caller's next copy
     // A denied flow is dropped from the list when the members are not confirmed within this time. The caller's
     // retransmission starts a new search.
     constexpr Duration confirmationTimeout = std::chrono::seconds(1);
@@ -41,6 +42,7 @@
     m_state = state;
     m_routes = std::move(routes);
     m_evacuated = std::move(evacuated);
+    repeatOutdatedOffers();
 }
 
 void EntrySteering::onCallerPacket(const uint8_t* data, size_t size)
@@ -76,6 +78,12 @@
 }
 
 void EntrySteering::onSyn(const FlowPacket& packet, const uint8_t* data, size_t size)
+{
+    offer(packet, m_clock.now(), data, size);
+}
+
+// `arrived` is earlier than now for a SYN that is offered again.
+void EntrySteering::offer(const FlowPacket& packet, Time arrived, const uint8_t* data, size_t size)
 {
     const Route* route = m_routes.find(packet.flow.service);
     if (!route) {
@@ -105,7 +113,7 @@
     frame.entry = m_options.self;
     CachedFlow* cachedFlow = findOrAddFlow(packet.flow);
     if (cachedFlow && packet.synRetransmission == 0)
-        cachedFlow->firstSynAt = m_clock.now();
+        cachedFlow->firstSynAt = arrived;
     if (cachedFlow && cachedFlow->agent.port != 0) {
         frame.members.push_back(cachedFlow->agent);
         frame.shouldCompareLoad = false;
@@ -119,8 +127,7 @@
         m_offers.push_back(
             { packet.flow, frame.members[0], frame.shouldCompareLoad ? second : Endpoint(), m_clock.now() });
     send(frame.members[0], frame, data, size);
-    m_observer.onDecision(
-        Decision::Offered, packet.flow, { frame.members[0], "", m_routes.version(), 0, m_state });
+    m_observer.onDecision(Decision::Offered, packet.flow, { frame.members[0], "", m_routes.version(), 0, m_state });
 }
 
 void EntrySteering::onNonSyn(const FlowPacket& packet, const uint8_t* data, size_t size)
@@ -245,6 +252,10 @@
         return;
     m_members.markResponsive(sender);
     m_unansweredOffers.erase(sender);
+    if (packet->syn && frame.isOutdated) {
+        onOfferOutdated(sender, frame, *packet, data, size);
+        return;
+    }
     if (packet->syn) {
         onOfferReturned(sender, frame, *packet);
         return;
@@ -285,6 +296,50 @@
             Decision::Unready, packet.flow, { sender, "another copy may be open", m_routes.version() });
 }
 
+void EntrySteering::onOfferOutdated(
+    Endpoint sender, const Frame& frame, const FlowPacket& packet, const uint8_t* data, size_t size)
+{
+    DecisionInputs inputs { sender, "a member has a newer state", m_routes.version(), 0, m_state, frame.state };
+    if (frame.state == StateIndex() || frame.state > StateIndex(m_state.value() + maxStateLead)) {
+        inputs.reason = "impossible state index";
+        m_observer.onDecision(Decision::Malformed, packet.flow, inputs);
+        return;
+    }
+    m_observer.onDecision(Decision::Outdated, packet.flow, inputs);
+    // The agent has answered.
+    m_offers.erase(std::remove_if(m_offers.begin(), m_offers.end(),
+                       [&](const PendingOffer& offer) { return offer.flow == packet.flow; }),
+        m_offers.end());
+    auto found = m_flows.find(packet.flow);
+    if (found == m_flows.end())
+        return;
+    Time arrived = packet.synRetransmission == 0 ? found->second.firstSynAt : m_clock.now();
+    if (m_outdatedOffers.size() < maxOutdatedOffers)
+        m_outdatedOffers.push_back({ frame.state, arrived, { data, data + size } });
+    if (frame.state > m_state)
+        m_output.newerStateSeen(frame.state);
+    repeatOutdatedOffers();
+}
+
+// Offers the SYNs again whose state has arrived. Those that are too old are left to the caller's next copy.
+void EntrySteering::repeatOutdatedOffers()
+{
+    std::deque<OutdatedOffer> offers;
+    offers.swap(m_outdatedOffers);
+    for (OutdatedOffer& outdated : offers) {
+        if (m_clock.now() - outdated.arrived >= m_options.refusalWindow)
+            continue;
+        if (outdated.needed > m_state) {
+            m_outdatedOffers.push_back(std::move(outdated));
+            continue;
+        }
+        std::optional<FlowPacket> packet
+            = m_format.decode(outdated.bytes.data(), outdated.bytes.size(), Direction::FromCaller);
+        if (packet)
+            offer(*packet, outdated.arrived, outdated.bytes.data(), outdated.bytes.size());
+    }
+}
+
 void EntrySteering::onAllMembersDenied(const FlowPacket& packet, CachedFlow& cachedFlow)
 {
     std::vector<Endpoint> members = m_searches.takeDenials(packet.flow); // the next packet starts a new search
@@ -411,6 +466,7 @@
     steerEarlyPackets();
     checkUnansweredOffers();
     retryUnansweredPackets();
+    repeatOutdatedOffers();
     expireDeniedFlows();
     if (m_clock.now() - m_lastExpiry >= expiryInterval)
         expire();
--- a/libs/steering/entry_steering.h
+++ b/libs/steering/entry_steering.h
@@ -8,8 +8,9 @@
 //     steering.onFrame(agent, data, size);
 //
 // Correctness does not depend on state of the entry: its flow cache is a hint, and the target decides whether it holds
-// a flow. Memory: at most `maxCachedFlows` cached flows of about 80 bytes, `maxDenied` denied flows, the packets kept
-// for a retry and the early packets.
+// a flow. An agent denies a new flow whose service its newer state excludes; the entry then requests that state and
+// offers the flow again. Memory: at most `maxCachedFlows` cached flows of about 80 bytes, `maxDenied` denied flows, the
+// packets kept for a retry and the early packets.
 //
 // A flow that all members deny is reset only when the member list is proved complete: a target gets no flow before it
 // is in the register of members, so the list that the leader confirms after the denial, together with the routes of the
@@ -53,6 +54,8 @@
     virtual void sendToCaller(const FlowId&, const std::vector<uint8_t>& packet) = 0;
     // Asks the leader to confirm the member list. Answered by onMembersConfirmed() or not at all; the entry asks again.
     virtual void confirmMembers() = 0;
+    // An agent has a newer state than this entry, which should request it.
+    virtual void newerStateSeen(StateIndex) { }
 };
 
 class EntrySteering {
@@ -105,6 +108,12 @@
         Time deniedAt;
         std::vector<Endpoint> members;
     };
+    // A SYN that an agent denied because of its newer state. It is offered again when this entry has that state.
+    struct OutdatedOffer {
+        StateIndex needed;
+        Time arrived;
+        std::vector<uint8_t> bytes;
+    };
     struct PendingOffer {
         FlowId flow;
         Endpoint first;
@@ -115,6 +124,7 @@
     void steer(const FlowPacket&, const uint8_t* data, size_t size);
     void steerEarlyPackets();
     void onSyn(const FlowPacket&, const uint8_t* data, size_t size);
+    void offer(const FlowPacket&, Time arrived, const uint8_t* data, size_t size);
     void onNonSyn(const FlowPacket&, const uint8_t* data, size_t size);
     void search(const FlowPacket&, Endpoint lastKnownAgent, const uint8_t* data, size_t size);
     void send(const SearchStep&, const FlowPacket&, const uint8_t* data, size_t size);
@@ -123,6 +133,8 @@
     void onLocated(Endpoint sender, const FlowId&);
     void onReturned(Endpoint sender, const Frame&, const uint8_t* packet, size_t size);
     void onOfferReturned(Endpoint sender, const Frame&, const FlowPacket&);
+    void onOfferOutdated(Endpoint sender, const Frame&, const FlowPacket&, const uint8_t* data, size_t size);
+    void repeatOutdatedOffers();
     void onAllMembersDenied(const FlowPacket&, CachedFlow&);
     bool isDeniedByAllMembers(const DeniedFlow&) const;
     void refuse(const FlowPacket&, const char* reason);
@@ -147,6 +159,7 @@
     EarlyPackets m_earlyPackets;
     absl::flat_hash_map<FlowId, CachedFlow> m_flows;
     std::deque<PendingOffer> m_offers; // oldest first
+    std::deque<OutdatedOffer> m_outdatedOffers; // in the order of the denials, at most maxOutdatedOffers
     std::deque<UnansweredPacket> m_unansweredPackets; // oldest first
     std::deque<DeniedFlow> m_deniedFlows; // oldest first
     absl::flat_hash_map<Endpoint, uint8_t> m_unansweredOffers; // by agent
--- a/libs/steering/frame.cc
+++ b/libs/steering/frame.cc
@@ -14,11 +14,13 @@
     constexpr uint8_t mayRecoverFlag = 2;
     constexpr uint8_t uncertainFlag = 4;
     constexpr uint8_t noTrialFlag = 8;
+    constexpr uint8_t outdatedFlag = 16;
 
     uint8_t flagsOf(const Frame& frame)
     {
         unsigned flags = (frame.shouldCompareLoad ? compareFlag : 0U) | (frame.mayAcceptLater ? mayRecoverFlag : 0U)
-            | (frame.isUncertain ? uncertainFlag : 0U) | (frame.mayTry ? 0U : noTrialFlag);
+            | (frame.isUncertain ? uncertainFlag : 0U) | (frame.mayTry ? 0U : noTrialFlag)
+            | (frame.isOutdated ? outdatedFlag : 0U);
         return static_cast<uint8_t>(flags);
     }
 
@@ -132,6 +134,7 @@
     frame.mayAcceptLater = (flags & mayRecoverFlag) != 0;
     frame.isUncertain = (flags & uncertainFlag) != 0;
     frame.mayTry = (flags & noTrialFlag) == 0;
+    frame.isOutdated = (flags & outdatedFlag) != 0;
     frame.nextPosition = readBigEndian<uint8_t>(at);
     frame.leastLoadedPosition = readBigEndian<uint8_t>(at);
     frame.lowestLoad = readBigEndian<uint16_t>(at);
--- a/libs/steering/frame.h
+++ b/libs/steering/frame.h
@@ -30,6 +30,7 @@
 
 constexpr size_t maxFrameMembers = 64;
 constexpr size_t maxOfferMembers = maxFrameMembers - 1; // the state index takes the place of one
+constexpr uint64_t maxStateLead = 1 << 20; // changes; no process is further behind another one
 constexpr StateIndex maxFrameStateIndex { (uint64_t(1) << 40) - 1 }; // a larger one is not encoded
 constexpr uint8_t noPosition = 0xff; // value of leastLoadedPosition when no load is known
 
@@ -37,6 +38,7 @@
     FrameKind kind = FrameKind::Deliver;
     bool shouldCompareLoad = false; // Offer: the next member compares its load before one of the two accepts
     bool mayAcceptLater = false; // Offer: a member could not decide yet, so it may accept a retransmitted SYN
+    bool isOutdated = false; // Returned: a member denied the offer because its own, newer state excludes it
     bool isUncertain
         = false; // Deliver: a member forwarded the packet but cannot rule out that its target holds the flow
     // Deliver, Probe, FanOut: a member that cannot rule out that its target holds the flow may give it the packet. The
@@ -46,7 +48,9 @@
     uint8_t leastLoadedPosition = noPosition; // position of the visited member with the lowest load
     uint16_t lowestLoad = 0; // see AgentSteering::load()
     ServiceKey service;
-    StateIndex state; // Offer, Returned: of the entry's state when it offered the flow; 0: unknown
+    // Offer, Returned: the index of the entry's state when it offered the flow, or of the member's when isOutdated is
+    // set. 0: unknown.
+    StateIndex state;
     Endpoint entry; // the entry that receives the Returned or Located answer
     absl::InlinedVector<Endpoint, 4> members;
 };
--- a/libs/steering/offer_state_test.cc
+++ b/libs/steering/offer_state_test.cc
@@ -1,8 +1,10 @@
 // Offers by an entry whose state is older or newer than that of the agent.
 #include "steering/agent_fixture.h"
+#include "steering/entry_fixture.h"
 
 using namespace cicadaward;
 using namespace cicadaward::steering;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -146,3 +148,106 @@
     fixture.frame(FrameKind::Deliver, dataPacket(testFlow(1)), { AgentFixture::options().self });
     CHECK(fixture.output.toTarget.size() == before + 1);
 }
+
+TEST_CASE("offer: an agent that gets an offer by a newer state requests that state", "[offer]")
+{
+    OfferFixture fixture;
+    fixture.setServices({ { hub, 1 } });
+    fixture.isAdmitted(StateIndex(5));
+    CHECK(fixture.output.newerStates.empty());
+    fixture.isAdmitted(StateIndex(6));
+    CHECK(fixture.output.newerStates == std::vector<StateIndex> { StateIndex(6) });
+}
+
+TEST_CASE("offer: one with an index that no state can have changes nothing and is counted", "[offer]")
+{
+    OfferFixture fixture;
+    fixture.setServices({ { hub, 1 } });
+    CHECK(fixture.isAdmitted(StateIndex(5 + maxStateLead)));
+    fixture.output = {};
+    CHECK(!fixture.isAdmitted(StateIndex(5 + maxStateLead + 1)));
+    CHECK(fixture.output.frames.empty());
+    CHECK(fixture.output.newerStates.empty());
+    CHECK(fixture.observer.count(Decision::Malformed) == 1);
+}
+
+namespace {
+
+// An entry whose route goes to hub by the state of index 4, and to catalogue by that of index 5.
+struct OutdatedEntryFixture : EntryWithoutState {
+    OutdatedEntryFixture()
+    {
+        entry.setState(StateIndex(4), makeHubRouteTable(), {});
+        entry.members().update(testMember(1));
+        entry.members().update(testMember(2, catalogue));
+        packet(synPacket(testFlow(1)));
+    }
+    void deny(StateIndex state)
+    {
+        Frame denial = offerBy(state);
+        denial.kind = FrameKind::Returned;
+        denial.isOutdated = denial.mayAcceptLater = true;
+        std::vector<uint8_t> bytes = frameBytes(denial, synPacket(testFlow(1)));
+        entry.onFrame(testMember(1).agent, bytes.data(), bytes.size());
+    }
+    void catchUp()
+    {
+        entry.setState(StateIndex(5),
+            RouteTable(
+                makeConfiguration(2, { makeRoute(serviceAddress, { { catalogue, 1 } }) }, { "hub", "catalogue" })),
+            {});
+    }
+    size_t offers() const { return output.frames.size(); }
+};
+
+} // namespace
+
+// Guards against callers that wait for the next copy of their SYN while the entry catches up.
+TEST_CASE("offer: a denied one is made again as soon as the entry has the newer state", "[offer]")
+{
+    OutdatedEntryFixture fixture;
+    fixture.deny(StateIndex(5));
+    CHECK(fixture.output.newerStates == std::vector<StateIndex> { StateIndex(5) });
+    CHECK(fixture.output.toCaller.empty());
+    CHECK(fixture.observer.count(Decision::Outdated) == 1);
+    CHECK(fixture.offers() == 1);
+    SECTION("in time")
+    {
+        fixture.clock.advance(100ms);
+        fixture.entry.onTick();
+        fixture.catchUp();
+        REQUIRE(fixture.offers() == 2);
+        CHECK(fixture.output.frames.back().to == testMember(2).agent);
+        CHECK(fixture.output.lastFrame().state == StateIndex(5));
+    }
+    SECTION("too late: the caller's next copy is due")
+    {
+        fixture.clock.advance(200ms);
+        fixture.catchUp();
+        CHECK(fixture.offers() == 1);
+    }
+    fixture.clock.advance(1s);
+    fixture.entry.onTick();
+    CHECK(fixture.entry.members().isResponsive(testMember(1).agent));
+}
+
+TEST_CASE("offer: a denial that the entry has overtaken is answered with another offer at once", "[offer]")
+{
+    OutdatedEntryFixture fixture;
+    fixture.catchUp();
+    fixture.deny(StateIndex(5));
+    REQUIRE(fixture.offers() == 2);
+    CHECK(fixture.output.newerStates.empty());
+    CHECK(fixture.output.frames.back().to == testMember(2).agent);
+}
+
+TEST_CASE("offer: a denial with an index that no state can have changes nothing and is counted", "[offer]")
+{
+    OutdatedEntryFixture fixture;
+    StateIndex impossible = GENERATE(StateIndex(), StateIndex(4 + maxStateLead + 1));
+    fixture.deny(impossible);
+    fixture.catchUp();
+    CHECK(fixture.offers() == 1);
+    CHECK(fixture.output.newerStates.empty());
+    CHECK(fixture.observer.count(Decision::Malformed) == 1);
+}
--- a/libs/steering/route_table.cc
+++ b/libs/steering/route_table.cc
@@ -51,6 +51,12 @@
     return {};
 }
 
+bool Route::takesNewFlows(ServiceKey service) const
+{
+    return std::any_of(services.begin(), services.end(),
+        [&](const WeightedService& candidate) { return candidate.service == service && candidate.weight > 0; });
+}
+
 RouteTable::RouteTable(Configuration configuration)
     : m_configuration(std::move(configuration))
 {
--- a/libs/steering/route_table.h
+++ b/libs/steering/route_table.h
@@ -47,6 +47,8 @@
     // Selects the service of a new flow by weight. Equal hashes select the same service until the weights change.
     // Returns the default key when all weights are 0.
     ServiceKey selectService(uint64_t flowHash) const;
+    // True when some new flows go to the service.
+    bool takesNewFlows(ServiceKey) const;
 };
 
 constexpr size_t maxFormerServices = 8;
--- a/libs/steering/test_fabric.h
+++ b/libs/steering/test_fabric.h
@@ -85,6 +85,7 @@
     }
 
     void confirmMembers() override { ++confirmationRequests; }
+    void newerStateSeen(StateIndex state) override { newerStates.push_back(state); }
 
     Frame lastFrame() const
     {
@@ -98,6 +99,7 @@
     std::vector<Sent> toCaller;
     std::vector<Sent> toTarget;
     size_t confirmationRequests = 0; // calls of confirmMembers()
+    std::vector<StateIndex> newerStates; // arguments of newerStateSeen()
 };
 
 inline FlowPacket synPacket(const FlowId& flow, uint8_t synRetransmission = 0)
