Decide on a new flow from ports of an earlier one like on any other

Cause: an agent took each SYN between the ends of a flow in its table for a copy of that flow's SYN, unless both ends had sent a FIN, and gave it to its target before any check. Nothing read a caller's reset.

Change: a flow is identified by its ends and the caller's initial sequence number. A SYN with another number passes every check, however the earlier flow ended. If it is admitted while the earlier flow may be open, the target decides: its SYN-ACK replaces the entry, a bounce passes the SYN on. If it is denied, the earlier flow stays as it is, because the SYN may be a late copy. Packets whose numbers are not those of the known flow are not held here: they never reach a target that holds another flow between the same ends. A caller's reset within its window ends the flow; copies of the SYN of a flow that has ended open nothing.

The former case 'a SYN with another sequence number leaves a flow that is not closed as it is' expected such a SYN at a draining target, which is the fault. The new cases check the same about the open flow, in more states: it is delivered to after a late SYN that is refused, bounced or not answered.

--- a/libs/steering/agent_offers.cc
+++ b/libs/steering/agent_offers.cc
@@ -50,6 +50,30 @@
     m_output.sendFrame(frame.entry, m_frameBuffer);
 }
 
+// Handles a SYN between the ends of a known flow that opens no new one. Returns false when it is to be decided like
+// that of an unknown flow.
+bool AgentSteering::handleCopy(
+    TargetFlow& known, const Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
+{
+    DecisionInputs inputs { frame.entry, "its flow has ended", m_routes.version(), 0, m_state, frame.state };
+    if (known.isEndedCopy(packet)) {
+        m_observer.onDecision(Decision::Repeated, packet.flow, inputs);
+        return true;
+    }
+    if (known.hasCallerIsn && !known.isOpenedBy(packet))
+        known.noteOther(packet);
+    bool isOpened = known.synForwarded && known.isOpenedBy(packet);
+    bool isPending = known.isOtherPending && packet.sequence == known.otherIsn;
+    bool hasTarget = m_registration.state() != TargetState::Departed && !m_registration.isContested();
+    if (!(isOpened || isPending) || known.targetEnded || !hasTarget)
+        return false;
+    known.entryToNotify = frame.entry;
+    forwardToTarget(frame, packet.flow, data, size);
+    inputs.reason = "its flow is known";
+    m_observer.onDecision(Decision::Repeated, packet.flow, inputs);
+    return true;
+}
+
 void AgentSteering::onOffer(Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
 {
     if (m_hasState && frame.state > StateIndex(m_state.value() + maxStateLead)) {
@@ -59,19 +83,8 @@
     }
     if (frame.state > m_state)
         m_output.newerStateSeen(frame.state);
-    TargetFlow* known = m_flows.find(packet.flow);
-    if (known && known->isReplacedBy(packet)) {
-        eraseFlow(packet.flow); // another target may take the new flow, so this agent must deny it
-        known = nullptr;
-    }
-    bool hasTarget = m_registration.state() != TargetState::Departed && !m_registration.isContested();
-    if (known && known->synForwarded && !known->targetEnded && hasTarget) {
-        known->entryToNotify = frame.entry;
-        forwardToTarget(frame, packet.flow, data, size); // a retransmitted SYN of a flow that the target has
-        m_observer.onDecision(Decision::Repeated, packet.flow,
-            { frame.entry, "its flow is known", m_routes.version(), 0, m_state, frame.state });
+    if (TargetFlow* known = m_flows.find(packet.flow); known && handleCopy(*known, frame, packet, data, size))
         return;
-    }
     if (isOutdated(frame, packet)) {
         denyOutdated(frame, packet, data, size);
         return;
@@ -132,11 +145,16 @@
 {
     Time now = m_clock.now();
     uint16_t ownLoad = load();
-    TargetFlow* flow = m_flows.replace(packet.flow, now);
+    if (TargetFlow* known = m_flows.find(packet.flow)) {
+        if (!known->isOver()) {
+            offerBeside(*known, frame, packet, data, size);
+            return;
+        }
+        m_requests.cancel(packet.flow, *known);
+    }
+    TargetFlow* flow = m_flows.replace(packet.flow, packet.sequence, now);
     if (!flow)
         return;
-    flow->synForwarded = true;
-    flow->callerIsn = packet.sequence;
     flow->connectStart = now - packet.age;
     flow->entryToNotify = frame.entry;
     m_admission.onSynForwarded(packet.flow);
@@ -148,4 +166,30 @@
         Decision::Accepted, packet.flow, { frame.entry, "", m_routes.version(), ownLoad, m_state, frame.state });
 }
 
+// The known flow may still be open. The target decides: it answers the SYN if it holds the new flow in its place.
+void AgentSteering::offerBeside(TargetFlow& known, Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
+{
+    m_admission.onSynForwarded(packet.flow);
+    frame.shouldCompareLoad = false;
+    forwardToTarget(frame, packet.flow, data, size);
+    known.noteOther(packet);
+    known.isOtherPending = true;
+    known.otherSynMark = m_lastMark;
+    known.otherForwarded = m_clock.now();
+    known.entryToNotify = frame.entry;
+    m_observer.onDecision(Decision::Accepted, packet.flow,
+        { frame.entry, "beside a known flow", m_routes.version(), load(), m_state, frame.state });
+}
+
+TargetFlow* AgentSteering::replaceByOther(const FlowId& id, TargetFlow& known)
+{
+    m_requests.cancel(id, known);
+    uint32_t synMark = known.otherSynMark;
+    Endpoint entryToNotify = known.entryToNotify;
+    TargetFlow* flow = m_flows.replace(id, known.otherIsn, known.otherForwarded);
+    flow->synMark = synMark;
+    flow->entryToNotify = entryToNotify;
+    return flow;
+}
+
 } // namespace cicadaward::steering
--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -1,5 +1,5 @@
-// A packet of a flow that is not in the agent's table is forwarded to the target only when the agent cannot rule out that
-// the target holds the flow.
+// A packet of a flow that is not in the agent's table is forwarded to the target only when the agent cannot rule out
+// that the target holds the flow.
 #include "steering/agent_steering.h"
 
 #include "core/hash.h"
@@ -248,6 +248,8 @@
     TargetFlow* flow = m_flows.find(packet.flow);
     if (!flow) {
         onUnknownFlow(frame, packet, data, size);
+    } else if (!flow->isOwn(packet)) {
+        onOtherFlow(*flow, frame, packet, data, size);
     } else if (flow->targetEnded) {
         std::vector<uint8_t> reset = m_format.reset(packet.flow, packet.acknowledged);
         m_output.sendToCaller(packet.flow, reset.data(), reset.size());
@@ -273,6 +275,17 @@
     }
 }
 
+// The packet is of a later flow, which another target may hold, or a late one of an earlier flow. The target must not
+// get it, because that would look like a packet of the known flow.
+void AgentSteering::onOtherFlow(
+    const TargetFlow& known, Frame& frame, const FlowPacket& packet, const uint8_t* data, size_t size)
+{
+    const char* reason = "of another flow between its ends";
+    m_observer.onDecision(Decision::NotHeld, packet.flow, { frame.entry, reason, m_routes.version() });
+    if (!known.isOfPrevious(packet))
+        passOn(frame, packet, reason, data, size);
+}
+
 void AgentSteering::onUnknownFlow(Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
 {
     bool isKnownAbsent
@@ -325,11 +338,13 @@
         { {}, "all slots are taken", m_routes.version(), static_cast<uint32_t>(m_requests.queuedCount()) });
 }
 
-// A caller that closes before the answer has given up. A queued request is still forwarded unless the caller sent a
-// reset, and the target ends it without processing it.
+// A caller that closes before the answer has given up. A reset ends both directions. A queued request is still
+// forwarded unless the caller sent a reset, and the target ends it without processing it.
 void AgentSteering::onCallerClosed(TargetFlow& flow, const FlowPacket& packet)
 {
     m_flows.markClosed(flow, &TargetFlow::callerClosed);
+    if (packet.reset)
+        m_flows.markClosed(flow, &TargetFlow::targetClosed);
     std::optional<QueuedRequest> queued = m_requests.cancel(packet.flow, flow);
     if (queued && !packet.reset)
         forwardToTarget(*queued); // the target accepts the FIN only after the data before it
--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -112,10 +112,14 @@
     void onOffer(Frame&, const FlowPacket&, uint8_t* data, size_t size);
     bool isOutdated(const Frame&, const FlowPacket&) const;
     void denyOutdated(Frame&, const FlowPacket&, const uint8_t* data, size_t size);
+    bool handleCopy(TargetFlow& known, const Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void accept(Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    void offerBeside(TargetFlow& known, Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    TargetFlow* replaceByOther(const FlowId&, TargetFlow& known);
     bool isLastResort(const Frame&) const;
     void passOnEjected(Frame&, const FlowPacket&, const uint8_t* data, size_t size);
     void onDelivery(Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    void onOtherFlow(const TargetFlow& known, Frame&, const FlowPacket&, const uint8_t* data, size_t size);
     void onUnknownFlow(Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void fanOut(const Frame&, const uint8_t* data, size_t size);
     void onKnownFlow(TargetFlow&, Frame&, const FlowPacket&, uint8_t* data, size_t size);
@@ -126,6 +130,7 @@
     void onCallerClosed(TargetFlow&, const FlowPacket&);
     void onTargetClosed(const FlowPacket&, TargetFlow&);
     void onBounced(const FlowPacket&, uint8_t* data, size_t size);
+    void passOnBounced(const FlowPacket&, uint8_t* data, size_t size);
     bool canTargetHold(const FlowId&) const;
     RequestPolicy requestPolicyOf(const FlowId&) const;
     void recordResult(const FlowPacket&, TargetFlow&);
--- a/libs/steering/agent_target.cc
+++ b/libs/steering/agent_target.cc
@@ -57,6 +57,10 @@
     }
     m_output.sendToCaller(packet->flow, data, size);
     TargetFlow* flow = m_flows.find(packet->flow);
+    if (flow && flow->isOtherPending)
+        m_admission.onFlowAnswered(packet->flow);
+    if (flow && flow->isReplacedBy(*packet))
+        flow = replaceByOther(packet->flow, *flow);
     if (!flow && !packet->reset)
         flow = m_flows.add(packet->flow, m_clock.now());
     if (!flow) {
@@ -162,6 +166,13 @@
 void AgentSteering::onBounced(const FlowPacket& packet, uint8_t* data, size_t size)
 {
     TargetFlow* flow = m_flows.find(packet.flow);
+    bool isOtherSyn = flow && packet.syn && flow->isOtherPending && packet.sequence == flow->otherIsn;
+    if (isOtherSyn) {
+        flow->isOtherPending = false;
+        m_admission.onFlowAnswered(packet.flow);
+        passOnBounced(packet, data, size);
+        return;
+    }
     if (flow && isHeldDespiteBounce(*flow, packet)) {
         m_observer.onDecision(Decision::NotHeld, packet.flow, { {}, "bounced, but its flow is held" });
         return;
@@ -173,6 +184,11 @@
     }
     eraseFlow(packet.flow);
     forwardQueuedRequests();
+    passOnBounced(packet, data, size);
+}
+
+void AgentSteering::passOnBounced(const FlowPacket& packet, uint8_t* data, size_t size)
+{
     const ForwardedPacket& forwarded = m_forwardedPackets[packet.mark % m_forwardedPackets.size()];
     if (packet.mark == 0 || forwarded.mark != packet.mark || !(forwarded.flow == packet.flow)) {
         m_observer.onDecision(Decision::NotHeld, packet.flow, { {}, "bounced with an unknown mark" });
--- a/libs/steering/entry_steering.cc
+++ b/libs/steering/entry_steering.cc
@@ -18,6 +18,7 @@
     // A denied flow is dropped from the list when the members are not confirmed within this time. The caller's
     // retransmission starts a new search.
     constexpr Duration confirmationTimeout = std::chrono::seconds(1);
+    constexpr uint32_t resetWindowBytes = 1 << 16; // more than a caller sends without an acknowledgement
     constexpr Duration expiryInterval = std::chrono::seconds(1);
     constexpr Duration defaultIdleLimit = std::chrono::seconds(15);
 
@@ -112,6 +113,9 @@
     frame.state = m_state;
     frame.entry = m_options.self;
     CachedFlow* cachedFlow = findOrAddFlow(packet.flow);
+    bool isOtherFlow = cachedFlow && !(cachedFlow->hasCallerIsn && cachedFlow->callerIsn == packet.sequence);
+    if (isOtherFlow)
+        startFlow(packet.flow, *cachedFlow, packet.sequence);
     if (cachedFlow && packet.synRetransmission == 0)
         cachedFlow->firstSynAt = arrived;
     if (cachedFlow && cachedFlow->agent.port != 0) {
@@ -138,7 +142,7 @@
         return;
     }
     cachedFlow->lastPacket = m_clock.now();
-    cachedFlow->isClosing = cachedFlow->isClosing || packet.fin || packet.reset;
+    cachedFlow->isClosing = cachedFlow->isClosing || cachedFlow->isEnd(packet);
     bool isRetransmission = cachedFlow->recordData(packet);
     const MemberRecord* member = cachedFlow->agent.port != 0 ? m_members.find(cachedFlow->agent) : nullptr;
     if (member && member->state == TargetState::Departed) {
@@ -167,6 +171,12 @@
     return isRetransmission;
 }
 
+bool EntrySteering::CachedFlow::isEnd(const FlowPacket& packet) const
+{
+    bool isNearData = packet.sequence - lastDataSequence + resetWindowBytes < 2 * resetWindowBytes;
+    return packet.fin || (packet.reset && (!hasData || isNearData));
+}
+
 void EntrySteering::search(const FlowPacket& packet, Endpoint lastKnownAgent, const uint8_t* data, size_t size)
 {
     const Route* route = m_routes.find(packet.flow.service);
@@ -421,6 +431,23 @@
     return &created;
 }
 
+// The caller opens another flow between the same ends. What is known of the earlier one does not apply to it, but for
+// the agent, which is asked first because the SYN may be a late copy.
+void EntrySteering::startFlow(const FlowId& id, CachedFlow& cachedFlow, uint32_t callerIsn)
+{
+    if (cachedFlow.isAwaitingConfirmation) {
+        m_deniedFlows.erase(std::remove_if(m_deniedFlows.begin(), m_deniedFlows.end(),
+                                [&](const DeniedFlow& denied) { return denied.flow == id; }),
+            m_deniedFlows.end());
+    }
+    Endpoint agent = cachedFlow.agent;
+    cachedFlow = {};
+    cachedFlow.agent = agent;
+    cachedFlow.lastPacket = m_clock.now();
+    cachedFlow.hasCallerIsn = true;
+    cachedFlow.callerIsn = callerIsn;
+}
+
 void EntrySteering::countUnansweredOffer(Endpoint agent)
 {
     if (agent.port == 0)
--- a/libs/steering/entry_steering.h
+++ b/libs/steering/entry_steering.h
@@ -87,6 +87,8 @@
         Endpoint agent; // of the target that holds the flow; port 0: unknown
         Time lastPacket;
         Time firstSynAt; // arrival of the original SYN
+        bool hasCallerIsn = false; // callerIsn is known
+        uint32_t callerIsn = 0; // of the newest SYN
         uint32_t lastDataSequence = 0; // of the caller's newest data; valid when hasData
         bool hasData = false;
         bool isAwaitingConfirmation = false; // listed in m_deniedFlows
@@ -94,6 +96,8 @@
 
         // Records the data of a packet. Returns true when it is a retransmission: the caller has had no answer.
         bool recordData(const FlowPacket&);
+        // True when the packet ends the flow. A reset counts only near the caller's newest data.
+        bool isEnd(const FlowPacket&) const;
     };
     // The packet that started a search, kept for a retry when the walk is not answered.
     struct UnansweredPacket {
@@ -140,6 +144,7 @@
     void refuse(const FlowPacket&, const char* reason);
     void send(Endpoint agent, const Frame&, const uint8_t* packet, size_t size);
     CachedFlow* findOrAddFlow(const FlowId&);
+    void startFlow(const FlowId&, CachedFlow&, uint32_t callerIsn);
     void countUnansweredOffer(Endpoint agent);
     void checkUnansweredOffers();
     void retryUnansweredPackets();
--- a/libs/steering/port_reuse_test.cc
+++ b/libs/steering/port_reuse_test.cc
@@ -7,85 +7,249 @@
 
 namespace {
 
-constexpr uint32_t firstIsn = 1000;
-constexpr uint32_t laterIsn = 5000;
+constexpr uint32_t earlierIsn = 0x0fff'0000;
+constexpr uint32_t firstIsn = 0x1000'0000;
+constexpr uint32_t firstTargetIsn = 0x2000'0000;
+constexpr uint32_t laterTargetIsn = 0x3000'0000;
+constexpr uint16_t requestBytes = 10;
 
-// An agent that knows all flows of its target, which has answered a flow of the caller.
+enum class Ending { ByBoth, ByCaller, ByTarget, CallerReset, TargetReset, None, IdleLimit };
+enum class Check { NewerRoutes, OtherService, Draining, Evacuated, WarmUp, FlowLimit, Unregistered };
+
+constexpr Ending allEndings[] { Ending::ByBoth, Ending::ByCaller, Ending::ByTarget, Ending::CallerReset,
+    Ending::TargetReset, Ending::None, Ending::IdleLimit };
+constexpr Check allChecks[] { Check::NewerRoutes, Check::OtherService, Check::Draining, Check::Evacuated, Check::WarmUp,
+    Check::FlowLimit, Check::Unregistered };
+
+// An agent that knows all flows of its target, which holds an open flow of the caller with the number firstIsn.
 struct PortReuseFixture : AgentFixture {
     PortReuseFixture()
     {
         heartbeatSequence = 0;
-        makeReady();
+        setState(StateIndex(4), { { hub, 1 } });
+        sendHeartbeat();
         offerWith(firstIsn);
-        receiveFromTarget(dataPacket(flow, 10));
+        answerSyn(firstIsn, firstTargetIsn);
+        deliver(callerPacket(firstIsn, requestBytes));
+        receiveFromTarget(targetPacket(firstTargetIsn, requestBytes));
+    }
+    void setState(StateIndex index, std::vector<WeightedService> services, std::set<std::string> evacuated = {})
+    {
+        Configuration configuration = makeConfiguration(
+            index.value(), { makeRoute(serviceAddress, std::move(services)) }, { "hub", "catalogue" });
+        configuration.services[0].warmUpRate = warmUpRate;
+        configuration.services[0].maxFlows = maxFlows;
+        agent.setState(index, RouteTable(configuration), std::move(evacuated));
     }
     void offerWith(uint32_t isn, uint8_t synRetransmission = 0)
     {
         FlowPacket syn = synPacket(flow, synRetransmission);
         syn.sequence = isn;
-        frame(FrameKind::Offer, syn, { options().self, testMember(2).agent });
+        Frame offer;
+        offer.kind = FrameKind::Offer;
+        offer.nextPosition = 1;
+        offer.service = offeredService;
+        offer.state = StateIndex(4);
+        offer.entry = entryEndpoint;
+        offer.members = { options().self, testMember(2).agent };
+        send(offer, syn);
+    }
+    FlowPacket callerPacket(uint32_t isn, uint16_t length) const
+    {
+        FlowPacket packet = dataPacket(flow, length);
+        packet.sequence = isn + 1;
+        return packet;
     }
-    void closeByTarget()
+    FlowPacket targetPacket(uint32_t targetIsn, uint16_t length) const
     {
-        FlowPacket end = dataPacket(flow, 0);
-        end.fin = true;
-        receiveFromTarget(end);
+        FlowPacket packet = dataPacket(flow, length);
+        packet.sequence = targetIsn + 1;
+        packet.acknowledged = firstIsn + 1 + requestBytes;
+        return packet;
     }
-    void closeByCaller()
+    void answerSyn(uint32_t isn, uint32_t targetIsn)
     {
-        FlowPacket end = dataPacket(flow, 0);
-        end.fin = true;
-        deliver(end);
+        FlowPacket answer = dataPacket(flow, 0);
+        answer.syn = true;
+        answer.sequence = targetIsn;
+        answer.acknowledged = isn + 1;
+        receiveFromTarget(answer);
     }
     void deliver(const FlowPacket& packet)
     {
         frame(FrameKind::Deliver, packet, { options().self, testMember(2).agent });
     }
-    bool isAtTarget(size_t before) const { return output.toTarget.size() == before + 1; }
+    // Returns whether the target got a data packet of the caller's flow with this number.
+    bool isDelivered(uint32_t isn)
+    {
+        size_t before = output.toTarget.size();
+        deliver(callerPacket(isn, 0));
+        return output.toTarget.size() > before;
+    }
+    // Returns whether the target got a SYN with this number.
+    bool isOffered(uint32_t isn, uint8_t synRetransmission = 0)
+    {
+        size_t before = output.toTarget.size();
+        offerWith(isn, synRetransmission);
+        return output.toTarget.size() > before;
+    }
+    void end(Ending ending)
+    {
+        FlowPacket byCaller = callerPacket(firstIsn + requestBytes, 0);
+        FlowPacket byTarget = targetPacket(firstTargetIsn + requestBytes, 0);
+        byCaller.fin = byTarget.fin = true;
+        if (ending == Ending::ByTarget || ending == Ending::ByBoth)
+            receiveFromTarget(byTarget);
+        if (ending == Ending::ByCaller || ending == Ending::ByBoth)
+            deliver(byCaller);
+        byCaller.fin = byTarget.fin = false;
+        byCaller.reset = byTarget.reset = true;
+        if (ending == Ending::CallerReset)
+            deliver(byCaller);
+        if (ending == Ending::TargetReset)
+            receiveFromTarget(byTarget);
+        if (ending == Ending::IdleLimit) {
+            run(16s);
+            sendHeartbeat();
+        }
+    }
+    // Makes one of the agent's checks refuse new flows.
+    void refuseBy(Check check)
+    {
+        if (check == Check::NewerRoutes)
+            setState(StateIndex(5), { { catalogue, 1 } });
+        if (check == Check::OtherService)
+            offeredService = catalogue;
+        if (check == Check::Draining)
+            sendHeartbeat("t-1", 100, true);
+        if (check == Check::Evacuated)
+            setState(StateIndex(4), { { hub, 1 } }, { "east" });
+        if (check == Check::WarmUp) {
+            warmUpRate = 0.1;
+            setState(StateIndex(4), { { hub, 1 } });
+            sendHeartbeat("t-1", 100, false, 5s);
+            for (uint16_t i = 0; i < 8; ++i)
+                offer(testFlow(100 + i));
+        }
+        if (check == Check::FlowLimit) {
+            offer(testFlow(100));
+            maxFlows = 1;
+            setState(StateIndex(4), { { hub, 1 } });
+        }
+        if (check == Check::Unregistered)
+            agent.raiseIncarnationAbove(agent.record().incarnation + 1);
+    }
 
     const FlowId flow = testFlow(1);
+    ServiceKey offeredService = hub;
+    double warmUpRate = 0;
+    uint32_t maxFlows = 0;
 };
 
+// Initial numbers of the later flow: far from the first one, and so near that their windows overlap.
+const auto laterIsns = { 0x9000'0000U, firstIsn + 5000 };
+
 } // namespace
 
-// Guards against new flows at a draining or evacuated target: the SYN of a later flow was taken for a copy of the SYN
-// of the closed one.
-TEST_CASE("agent: a new flow with the ports of a closed one is subject to admission", "[agent]")
+// Guards against new flows that pass over the agent's checks because their SYN is taken for a copy of an earlier one.
+TEST_CASE("ports used again: a new flow is subject to every check, however the earlier one ended", "[ports]")
+{
+    for (uint32_t laterIsn : laterIsns) {
+        for (Ending ending : allEndings) {
+            for (Check check : allChecks) {
+                INFO("ending " << int(ending) << ", check " << int(check) << ", number " << laterIsn);
+                PortReuseFixture fixture;
+                fixture.end(ending);
+                fixture.refuseBy(check);
+                CHECK(!fixture.isOffered(laterIsn));
+                bool isOutdated = check == Check::NewerRoutes;
+                CHECK(fixture.output.frames.back().to == (isOutdated ? entryEndpoint : testMember(2).agent));
+                CHECK(!fixture.isOffered(laterIsn, 1));
+                CHECK(!fixture.isDelivered(laterIsn)); // it is open at another target
+                bool isStillOpen = ending == Ending::ByCaller || ending == Ending::ByTarget || ending == Ending::None;
+                if (isStillOpen)
+                    CHECK(fixture.isDelivered(firstIsn));
+            }
+        }
+    }
+}
+
+TEST_CASE("ports used again: a new flow that the target takes replaces the earlier one", "[ports]")
+{
+    for (uint32_t laterIsn : laterIsns) {
+        for (Ending ending : allEndings) {
+            INFO("ending " << int(ending) << ", number " << laterIsn);
+            PortReuseFixture fixture;
+            fixture.end(ending);
+            CHECK(fixture.isOffered(laterIsn));
+            CHECK(fixture.isOffered(laterIsn, 1)); // a copy
+            fixture.answerSyn(laterIsn, laterTargetIsn);
+            CHECK(fixture.isDelivered(laterIsn));
+            CHECK(fixture.agent.flowCount() == 1);
+            size_t frames = fixture.output.frames.size();
+            CHECK(!fixture.isDelivered(firstIsn));
+            bool isRemembered = ending != Ending::TargetReset && ending != Ending::IdleLimit;
+            if (isRemembered) {
+                CHECK(!fixture.isOffered(firstIsn, 2)); // a late copy of the earlier SYN
+                CHECK(fixture.output.frames.size() == frames);
+            }
+            CHECK(fixture.isDelivered(laterIsn));
+        }
+    }
+}
+
+// Guards against an open flow that its agent denies after a late copy of an earlier SYN.
+TEST_CASE("ports used again: a late copy of an earlier SYN ends no open flow", "[ports]")
 {
     PortReuseFixture fixture;
-    fixture.closeByTarget();
-    fixture.closeByCaller();
-    size_t before = fixture.output.toTarget.size();
-    SECTION("the target takes flows")
+    SECTION("the copy is refused here")
     {
-        fixture.offerWith(laterIsn);
-        CHECK(fixture.isAtTarget(before));
-        fixture.offerWith(laterIsn, 1); // a copy
-        CHECK(fixture.isAtTarget(before + 1));
+        fixture.refuseBy(Check::Draining);
+        CHECK(!fixture.isOffered(earlierIsn, 2));
     }
-    SECTION("the target drains") { fixture.sendHeartbeat("t-1", 100, true); }
-    SECTION("its data centre is evacuated") { fixture.agent.setState(StateIndex(1), makeHubRouteTable(2), { "east" }); }
-    if (fixture.output.toTarget.size() != before)
-        return;
-    fixture.offerWith(laterIsn);
-    CHECK(fixture.output.toTarget.size() == before);
-    CHECK(fixture.output.frames.back().to == testMember(2).agent);
-    fixture.deliver(dataPacket(fixture.flow)); // the new flow is open at another target
-    CHECK(fixture.output.toTarget.size() == before);
+    SECTION("the target bounces it")
+    {
+        CHECK(fixture.isOffered(earlierIsn, 2));
+        fixture.bounceLastPacket();
+        CHECK(fixture.output.frames.back().to == testMember(2).agent);
+    }
+    SECTION("the target does not answer it") { CHECK(fixture.isOffered(earlierIsn, 2)); }
+    CHECK(fixture.isDelivered(firstIsn));
+    fixture.receiveFromTarget(fixture.targetPacket(firstTargetIsn + requestBytes, requestBytes));
+    CHECK(fixture.isDelivered(firstIsn));
+    CHECK(fixture.agent.flowCount() == 1);
+}
+
+// Guards against a flow that opens at its target although the caller has ended it.
+TEST_CASE("ports used again: a copy of the SYN of a flow that has ended opens nothing", "[ports]")
+{
+    PortReuseFixture fixture;
+    fixture.end(GENERATE(Ending::ByBoth, Ending::CallerReset));
+    size_t frames = fixture.output.frames.size();
+    CHECK(!fixture.isOffered(firstIsn, 2));
+    CHECK(fixture.output.frames.size() == frames);
+}
+
+// Guards against packets of an open flow at a target that has only answered a late copy of an earlier SYN.
+TEST_CASE("ports used again: a target that holds a flow of other numbers gets no packet", "[ports]")
+{
+    PortReuseFixture fixture;
+    uint32_t isn = 0x9000'0000;
+    CHECK(!fixture.isDelivered(isn));
+    Frame passedOn = fixture.lastFrame();
     CHECK(fixture.output.frames.back().to == testMember(2).agent);
+    CHECK(!passedOn.isUncertain);
+    CHECK(fixture.observer.count(Decision::NotHeld) == 1);
 }
 
-// Guards against an open flow that its agent denies after a late copy of an earlier SYN.
-TEST_CASE("agent: a SYN with another sequence number leaves a flow that is not closed as it is", "[agent]")
+TEST_CASE("ports used again: a reset of the caller counts only within the window of its flow", "[ports]")
 {
     PortReuseFixture fixture;
-    SECTION("open") { }
-    SECTION("closed by the target") { fixture.closeByTarget(); }
-    SECTION("closed by the caller") { fixture.closeByCaller(); }
-    fixture.sendHeartbeat("t-1", 100, true);
+    FlowPacket reset = fixture.callerPacket(GENERATE(firstIsn + (1 << 20), firstIsn - (1 << 20)), 0);
+    reset.reset = true;
     size_t before = fixture.output.toTarget.size();
-    fixture.offerWith(laterIsn);
-    CHECK(fixture.isAtTarget(before));
-    fixture.deliver(dataPacket(fixture.flow));
-    CHECK(fixture.isAtTarget(before + 1));
+    fixture.deliver(reset);
+    CHECK(fixture.output.toTarget.size() == before);
+    CHECK(fixture.isOffered(firstIsn, 1)); // a copy of the SYN of an open flow
+    CHECK(fixture.isDelivered(firstIsn));
 }
--- a/libs/steering/target_flows.cc
+++ b/libs/steering/target_flows.cc
@@ -8,12 +8,50 @@
     // has sent more has sent packets after its SYN-ACK, which establish the flow on their own.
     constexpr uint32_t synAckWindowBytes = 1 << 16;
     constexpr uint32_t answerWindowBytes = 1 << 16; // more than a target sends without an acknowledgement
+    constexpr uint32_t callerWindowBytes = 1 << 16; // more than a caller sends without an acknowledgement
 
     // Compares sequence numbers modulo 2^32.
     bool isAfter(uint32_t a, uint32_t b) { return static_cast<int32_t>(a - b) > 0; }
 
 } // namespace
 
+bool TargetFlow::isEndedCopy(const FlowPacket& syn) const
+{
+    return (hasPreviousIsn && syn.sequence == previousIsn) || (isClosed() && isOpenedBy(syn));
+}
+
+void TargetFlow::noteOther(const FlowPacket& syn)
+{
+    isOtherPending = isOtherPending && syn.sequence == otherIsn;
+    otherIsn = syn.sequence;
+    hasOtherIsn = true;
+}
+
+bool TargetFlow::isReplacedBy(const FlowPacket& synAck) const
+{
+    if (!synAck.syn || !isOtherPending)
+        return false;
+    return synAck.acknowledged == otherIsn + 1 || (hasTargetIsn && synAck.sequence != targetIsn);
+}
+
+// Sequence numbers are compared modulo 2^32. Initial numbers that lie closer together than the window are told apart by
+// otherIsn.
+bool TargetFlow::isOwn(const FlowPacket& packet) const
+{
+    if (!hasCallerIsn)
+        return !hasRequestEnd || packet.sequence - requestEnd + callerWindowBytes < 2 * callerWindowBytes;
+    uint32_t offset = packet.sequence - callerIsn;
+    if (hasOtherIsn && packet.sequence - otherIsn < offset)
+        return false;
+    uint32_t sentBytes = hasRequestEnd ? requestEnd - callerIsn : 0;
+    return offset < sentBytes + callerWindowBytes;
+}
+
+bool TargetFlow::isOfPrevious(const FlowPacket& packet) const
+{
+    return hasPreviousIsn && packet.sequence - previousIsn < callerWindowBytes;
+}
+
 bool TargetFlow::recordCallerData(const FlowPacket& packet)
 {
     uint32_t end = packet.sequence + packet.length;
@@ -82,10 +120,21 @@
     return &flow;
 }
 
-TargetFlow* TargetFlows::replace(const FlowId& id, Time now)
+TargetFlow* TargetFlows::replace(const FlowId& id, uint32_t callerIsn, Time now)
 {
+    TargetFlow* previous = find(id);
+    bool hasPreviousIsn = previous && previous->hasCallerIsn && previous->callerIsn != callerIsn;
+    uint32_t previousIsn = hasPreviousIsn ? previous->callerIsn : 0;
     erase(id);
-    return add(id, now);
+    TargetFlow* flow = add(id, now);
+    if (!flow)
+        return nullptr;
+    flow->synForwarded = true;
+    flow->hasCallerIsn = true;
+    flow->callerIsn = callerIsn;
+    flow->hasPreviousIsn = hasPreviousIsn;
+    flow->previousIsn = previousIsn;
+    return flow;
 }
 
 void TargetFlows::erase(const FlowId& id)
--- a/libs/steering/target_flows.h
+++ b/libs/steering/target_flows.h
@@ -2,6 +2,11 @@
 // the authority on which flows it holds. The table tracks the state of each flow's request and the flows that may have
 // ended with an earlier start of the target.
 //
+// Callers use their ports again, so a flow is identified by its two ends and the caller's initial sequence number. A
+// SYN with another number is either that of a later flow, however the present one ended, or a late copy of the SYN of
+// an earlier one. The table cannot tell these apart, so such a SYN ends no flow that is not over by evidence: only the
+// target's answer to it does.
+//
 // Memory: about 150 bytes per flow, at most `maxFlows` flows. Cost: O(1) per packet, O(flows) for onNewStart() and
 // expire().
 #pragma once
@@ -35,7 +40,15 @@
     bool mayHaveEnded = false; // was established when another start of the target was registered
     bool targetEnded = false; // the target has bounced a packet of the flow, which it held before
     uint32_t synMark = 0; // mark of the SYN that opened the flow; 0: not forwarded by this process
-    uint32_t callerIsn = 0; // initial sequence number of the caller, valid when synForwarded
+    bool hasCallerIsn = false; // callerIsn is known
+    uint32_t callerIsn = 0; // initial sequence number of the caller
+    bool hasPreviousIsn = false; // previousIsn is known
+    uint32_t previousIsn = 0; // callerIsn of the flow between the same ends that this one replaced
+    bool hasOtherIsn = false; // otherIsn is known
+    uint32_t otherIsn = 0; // of the newest SYN that is not this flow's
+    bool isOtherPending = false; // that SYN was forwarded to the target, which has not decided on it
+    uint32_t otherSynMark = 0; // its mark, valid when isOtherPending
+    Time otherForwarded; // valid when isOtherPending
     uint32_t targetIsn = 0; // initial sequence number of the target, from its SYN-ACK
     uint32_t answerEnd
         = 0; // sequence number after the newest data of the target; valid when established or mayHaveEnded
@@ -44,9 +57,19 @@
 
     bool isClosing() const { return callerClosed || targetClosed; }
     bool isClosed() const { return callerClosed && targetClosed; }
-    // True when the SYN opens a later flow between the same ends. A late copy of an earlier SYN must not do harm, so
-    // this is so only when both ends have closed the flow.
-    bool isReplacedBy(const FlowPacket& syn) const { return isClosed() && syn.sequence != callerIsn; }
+    // True when the flow has ended, or its target never answered.
+    bool isOver() const { return isClosed() || targetEnded || (synForwarded && !answered); }
+    bool isOpenedBy(const FlowPacket& syn) const { return hasCallerIsn && syn.sequence == callerIsn; }
+    // True for a copy of a SYN that has opened a flow which has ended since.
+    bool isEndedCopy(const FlowPacket& syn) const;
+    // Remembers a SYN that is not this flow's, so that isOwn() excludes the packets that follow it.
+    void noteOther(const FlowPacket& syn);
+    // True when the target's SYN-ACK answers the SYN of noteOther(): the target holds that flow in place of this one.
+    bool isReplacedBy(const FlowPacket& synAck) const;
+    // False when the caller's packet is certainly not one of this flow, but of another one between the same ends.
+    bool isOwn(const FlowPacket&) const;
+    // True when the caller's packet is a late one of the flow that this one replaced.
+    bool isOfPrevious(const FlowPacket&) const;
     // Updates requestEnd from a packet with data of the caller. Returns false for repeated data.
     bool recordCallerData(const FlowPacket&);
     void recordSynAck(const FlowPacket&);
@@ -77,9 +100,9 @@
     TargetFlow* find(const FlowId&);
     // Returns null when the table is full.
     TargetFlow* add(const FlowId&, Time now);
-    // Adds a flow whose SYN is forwarded, in place of an earlier entry with the same id. Returns null when the table is
-    // full.
-    TargetFlow* replace(const FlowId&, Time now);
+    // Adds a flow with the initial sequence number `callerIsn` whose SYN is forwarded, in place of an earlier entry
+    // with the same id. Returns null when the table is full.
+    TargetFlow* replace(const FlowId&, uint32_t callerIsn, Time now);
     void erase(const FlowId&);
     void clear();
     // Sets `end`, which is &TargetFlow::callerClosed or &TargetFlow::targetClosed.
