Let no new start of a target decide on a SYN that the earlier one got

A SYN beside a known flow is pending until the target answers, and its copies pass over the agent's checks meanwhile. A new start of the target left it pending, so a copy reached a target that the register did not have yet.

--- a/libs/steering/port_reuse_test.cc
+++ b/libs/steering/port_reuse_test.cc
@@ -253,3 +253,14 @@
     CHECK(fixture.isOffered(firstIsn, 1)); // a copy of the SYN of an open flow
     CHECK(fixture.isDelivered(firstIsn));
 }
+
+// Guards against a flow at a new start of the target that is not in the register yet.
+TEST_CASE("ports used again: a new start of the target decides on no SYN that the earlier one got", "[ports]")
+{
+    PortReuseFixture fixture;
+    CHECK(fixture.isOffered(0x9000'0000));
+    fixture.agent.onDeparture("t-1");
+    fixture.registersAtOnce = false;
+    fixture.sendHeartbeat("t-2", 200);
+    CHECK(!fixture.isOffered(0x9000'0000, 1));
+}
--- a/libs/steering/target_flows.cc
+++ b/libs/steering/target_flows.cc
@@ -163,6 +163,7 @@
     for (auto& [id, flow] : m_flows) {
         flow.mayHaveEnded = flow.mayHaveEnded || flow.established;
         flow.established = flow.seenFromTarget = flow.hasTargetIsn = flow.synForwarded = false;
+        flow.isOtherPending = false;
         flow.isRequestQueued = flow.isRequestInFlight = flow.isRequestUnanswered = false;
     }
 }
