Find the control group again through any other process

What callers saw: an entry that was frozen while every control instance was replaced by others at new addresses never got another state.

Cause: a process learns of new control instances only from control instances.

Change: a process that no control instance answers asks the next entry or agent that sends it a frame for the instances that it polls, at most once a second, and polls them at once. The list is only a hint: seeds and known instances stay, at most maxControls in all.

--- a/daemons/flow_agent_daemon.cc
+++ b/daemons/flow_agent_daemon.cc
@@ -80,7 +80,7 @@
     , m_peers(
           base, endpointSetting(settings, "listen.fabric"),
           [this](Endpoint sender, const cluster::Envelope& envelope) { m_poller.onMessage(sender, envelope); },
-          [this](Endpoint sender, uint8_t* data, size_t size) { m_steering.onFrame(sender, data, size); })
+          [this](Endpoint sender, uint8_t* data, size_t size) { handleFrame(sender, data, size); })
     , m_targetPort(base.context, endpointSetting(settings, "listen.target"), 2048,
           [this](Endpoint, uint8_t* data, size_t size) { m_steering.onTargetPacket(data, size); })
     , m_heartbeats(base.context, endpointSetting(settings, "listen.heartbeats"),
@@ -194,6 +194,12 @@
     return { m_steering.record() };
 }
 
+void FlowAgentDaemon::handleFrame(Endpoint sender, uint8_t* data, size_t size)
+{
+    m_poller.onPeer(sender);
+    m_steering.onFrame(sender, data, size);
+}
+
 void FlowAgentDaemon::sendFrame(Endpoint to, const std::vector<uint8_t>& frame)
 {
     m_peers.sendDatagram(to, frame.data(), frame.size());
--- a/daemons/flow_agent_daemon.h
+++ b/daemons/flow_agent_daemon.h
@@ -22,6 +22,7 @@
     void sendToTarget(const uint8_t* packet, size_t size) override;
     void sendToCaller(const steering::FlowId&, const uint8_t* packet, size_t size) override;
     void newerStateSeen(StateIndex) override;
+    void handleFrame(Endpoint sender, uint8_t* data, size_t size);
     void sendMessage(Endpoint control, const cluster::Envelope&) override;
     void onState(const cluster::ForwardingState&) override;
     void onKnownIncarnation(uint64_t incarnation) override { m_steering.raiseIncarnationAbove(incarnation); }
--- a/daemons/flow_entry_daemon.cc
+++ b/daemons/flow_entry_daemon.cc
@@ -50,7 +50,7 @@
     , m_peers(
           base, endpointSetting(settings, "listen.peers"),
           [this](Endpoint sender, const cluster::Envelope& envelope) { m_poller.onMessage(sender, envelope); },
-          [this](Endpoint sender, uint8_t* data, size_t size) { m_steering.onFrame(sender, data, size); })
+          [this](Endpoint sender, uint8_t* data, size_t size) { handleFrame(sender, data, size); })
     , m_fabric(base.context, endpointSetting(settings, "listen.fabric"), 2048,
           [this](Endpoint, uint8_t* data, size_t size) { m_steering.onCallerPacket(data, size); })
     , m_readiness(base.context, endpointSetting(settings, "listen.ready"),
@@ -113,6 +113,12 @@
     reply(ready ? 200 : 503, "application/json", "{}");
 }
 
+void FlowEntryDaemon::handleFrame(Endpoint sender, uint8_t* data, size_t size)
+{
+    m_poller.onPeer(sender);
+    m_steering.onFrame(sender, data, size);
+}
+
 void FlowEntryDaemon::sendFrame(Endpoint agent, const std::vector<uint8_t>& frame)
 {
     m_peers.sendDatagram(agent, frame.data(), frame.size());
--- a/daemons/flow_entry_daemon.h
+++ b/daemons/flow_entry_daemon.h
@@ -29,6 +29,7 @@
     steering::MemberDigest memberDigest() override { return m_steering.members().digest(); }
     void confirmMembers() override { m_poller.confirmMembers(); }
     void newerStateSeen(StateIndex) override;
+    void handleFrame(Endpoint sender, uint8_t* data, size_t size);
     void membersConfirmed(Time asked) override { m_steering.onMembersConfirmed(asked); }
     void contactLost() override;
     void contactRenewed() override;
--- a/libs/cluster/codec.h
+++ b/libs/cluster/codec.h
@@ -43,6 +43,7 @@
         CICADAWARD_CODEC(cicadaward::cluster::ForwardingDelta, 9, v.baseIndex, v.index, v.version, v.flowIdleLimit,
             v.routes, v.removedRoutes, v.services, v.removedServices, v.evacuatedDataCentres)
         CICADAWARD_CODEC(cicadaward::cluster::StateNotice, 1, v.stateIndex)
+        CICADAWARD_CODEC(cicadaward::cluster::Controls, 1, v.controls)
         CICADAWARD_CODEC(cicadaward::cluster::Envelope, 2, v.kind, v.body)
         CICADAWARD_CODEC(cicadaward::cluster::StatePart, 4, v.index, v.offset, v.size, v.bytes)
         CICADAWARD_EXTENDED_CODEC(cicadaward::cluster::Poll, 4, 10, v.stateIndex, v.table, v.wantsMembers, v.records,
--- a/libs/cluster/messages.h
+++ b/libs/cluster/messages.h
@@ -12,7 +12,7 @@
 
 namespace cicadaward::cluster {
 
-enum class MessageKind : uint8_t { Consensus, Poll, PollReply, Hello, StateNotice };
+enum class MessageKind : uint8_t { Consensus, Poll, PollReply, Hello, StateNotice, ControlsRequest, Controls };
 
 struct Envelope {
     MessageKind kind = MessageKind::Consensus;
@@ -76,6 +76,12 @@
     LogIndex stateIndex = 0;
 };
 
+// The control instances that the sender polls. A ControlsRequest, which has no body, asks for it: an entry or agent
+// that no control instance answers sends one to another process of these.
+struct Controls {
+    std::vector<Endpoint> controls;
+};
+
 constexpr size_t maxReplyMembers = 512;
 
 // Announces a control instance. Sent by instances that are not voters or whose address the group doesn't know, and by
--- a/libs/cluster/poller.cc
+++ b/libs/cluster/poller.cc
@@ -15,6 +15,7 @@
     // A newer state that no instance has named for this long is not one of this group.
     constexpr Duration heardLifetime = std::chrono::seconds(5);
     constexpr int retriesPerInterval = 16; // of a long interval, so that the retries of many pollers stay few
+    constexpr Duration controlsRequestInterval = std::chrono::seconds(1);
     constexpr uint64_t turnsPerFullCycle = 8; // every 8th poll also considers instances without a state
 
 } // namespace
@@ -172,10 +173,15 @@
 {
     PollReply reply;
     StateNotice notice;
+    Controls controls;
     if (envelope.kind == MessageKind::PollReply && decodeMessage(envelope.body, reply))
         onReply(sender, reply);
     else if (envelope.kind == MessageKind::StateNotice && decodeMessage(envelope.body, notice))
-        onNewerState(notice.stateIndex, sender);
+        onNotice(sender, notice);
+    else if (envelope.kind == MessageKind::ControlsRequest)
+        onControlsRequest(sender);
+    else if (envelope.kind == MessageKind::Controls && decodeMessage(envelope.body, controls))
+        onControls(controls);
     else
         return false;
     return true;
@@ -261,14 +267,46 @@
     return state;
 }
 
-// Sends only one poll for each index, because two instances notify each poller. `source` has the state; without it, any
-// control instance is asked.
-void Poller::onNewerState(LogIndex index, std::optional<Endpoint> source)
+// Sends only one poll for each index, because two instances notify each poller.
+void Poller::onNotice(Endpoint sender, const StateNotice& notice)
+{
+    bool isNew = notice.stateIndex > heardIndex();
+    hear(notice.stateIndex);
+    if (isNew)
+        poll(sender, 0);
+}
+
+void Poller::onNewerState(LogIndex index)
 {
     bool isNew = index > heardIndex();
     hear(index);
-    if (isNew && (source || !m_controls.empty()))
-        poll(source ? *source : nextSource(), 0);
+    if (isNew && !m_controls.empty())
+        poll(nextSource(), 0);
+}
+
+void Poller::onPeer(Endpoint process)
+{
+    if (m_inContact || m_clock.now() < m_nextControlsRequest)
+        return;
+    m_nextControlsRequest = m_clock.now() + controlsRequestInterval;
+    m_output.sendMessage(process, { MessageKind::ControlsRequest, {} });
+}
+
+void Poller::onControlsRequest(Endpoint sender)
+{
+    if (m_inContact)
+        m_output.sendMessage(sender, { MessageKind::Controls, encodeMessage(Controls { m_controls }) });
+}
+
+// The list is only a hint: the known instances stay in it, and the next reply with a state replaces it.
+void Poller::onControls(const Controls& hint)
+{
+    if (m_inContact)
+        return;
+    std::vector<Endpoint> known = m_controls;
+    known.insert(known.begin(), hint.controls.begin(), hint.controls.end());
+    setControls(known);
+    pollAll();
 }
 
 void Poller::hear(LogIndex index)
@@ -305,12 +343,17 @@
     if (index < m_controlsIndex || controls.empty())
         return;
     m_controlsIndex = index;
-    std::vector<Endpoint> next = controls;
-    for (Endpoint seed : m_options.seeds) {
-        if (std::find(next.begin(), next.end(), seed) == next.end())
-            next.push_back(seed);
+    setControls(controls);
+}
+
+// Keeps the seeds and the first ones of `controls`, at most maxControls in all.
+void Poller::setControls(const std::vector<Endpoint>& controls)
+{
+    std::vector<Endpoint> next = m_options.seeds;
+    for (Endpoint control : controls) {
+        if (next.size() < maxControls && std::find(next.begin(), next.end(), control) == next.end())
+            next.push_back(control);
     }
-    next.resize(std::min(next.size(), maxControls));
     m_controls = std::move(next);
     sortControls();
 }
--- a/libs/cluster/poller.h
+++ b/libs/cluster/poller.h
@@ -83,8 +83,11 @@
     void pollAll();
     // Requests a call of membersConfirmed(), unless one was requested within minConfirmationInterval.
     void confirmMembers();
-    // Another process has a state of this index. Polls at once when it is newer than any that was named before.
-    void onNewerState(LogIndex index) { onNewerState(index, {}); }
+    // Another entry or agent has a state of this index. Polls at once when it is newer than any that was named before.
+    void onNewerState(LogIndex);
+    // Call for each frame of another entry or agent. While no control instance answers, asks the sender which ones it
+    // polls, at most once a second: all that this process knows may have been replaced.
+    void onPeer(Endpoint process);
     // Sets control instances that were discovered by other means. A reply with a state replaces them.
     void updateControls(const std::vector<Endpoint>& controls) { updateControls(0, controls); }
 
@@ -108,7 +111,10 @@
     std::optional<ForwardingState> stateFrom(const PollReply&) const;
     void applyMembers(Endpoint sender, const PollReply&);
     void onConfirmation(const PollReply&);
-    void onNewerState(LogIndex, std::optional<Endpoint> source);
+    void onNotice(Endpoint sender, const StateNotice&);
+    void onControlsRequest(Endpoint sender);
+    void onControls(const Controls&);
+    void setControls(const std::vector<Endpoint>& controls);
     bool isBehind() const { return m_state.index != 0 && m_heardIndex > m_state.index; }
     void hear(LogIndex);
     void reportBehind();
@@ -148,6 +154,7 @@
     std::array<Time, 16>
         m_confirmationTimes {}; // request times by number modulo the size; replies may be several intervals late
     Time m_nextConfirmation;
+    Time m_nextControlsRequest;
     LogIndex m_controlsIndex = 0; // state index of the reply that set m_controls
 };
 
--- a/libs/cluster/poller_test.cc
+++ b/libs/cluster/poller_test.cc
@@ -347,3 +347,89 @@
     run(10s);
     CHECK(run(12s) <= 2 * 12000 / 1200 + 1);
 }
+
+// Guards against a process that keeps an old state for good because all control instances that it knows were replaced
+// while it did not run.
+TEST_CASE("poller: a process whose control instances are all gone gets the new ones from another process", "[poller]")
+{
+    struct Output final : PollerOutput {
+        void sendMessage(Endpoint to, const Envelope& envelope) override { sent.emplace_back(to, envelope); }
+        void contactLost() override { }
+        void contactRenewed() override { }
+        void onState(const ForwardingState& state) override { index = state.index; }
+        size_t count(Endpoint to, MessageKind kind) const
+        {
+            return std::count_if(sent.begin(), sent.end(),
+                [&](const auto& message) { return message.first == to && message.second.kind == kind; });
+        }
+        std::vector<std::pair<Endpoint, Envelope>> sent;
+        LogIndex index = 0;
+    };
+    const Endpoint gone { 0x0A010001, 7720 };
+    const Endpoint process { 0x0A020001, 8172 };
+    const Endpoint other { 0x0A020002, 8172 };
+    ManualClock clock;
+    Random random(1);
+    Output output, otherOutput;
+    PollerOptions options;
+    options.seeds = { gone };
+    Poller poller(options, clock, random, output);
+    auto replyWith = [](LogIndex index, Endpoint control) {
+        PollReply reply;
+        reply.stateIndex = index;
+        reply.state = encodeMessage(ForwardingState { index, {}, {} });
+        reply.controls = { control };
+        return reply;
+    };
+    poller.onReply(gone, replyWith(1, gone));
+    SECTION("in contact, it needs none and takes none")
+    {
+        poller.onPeer(other);
+        CHECK(output.count(other, MessageKind::ControlsRequest) == 0);
+        poller.onMessage(other, { MessageKind::Controls, encodeMessage(Controls { { peerB } }) });
+        CHECK(output.count(peerB, MessageKind::Poll) == 0);
+        return;
+    }
+    clock.advance(20s);
+    poller.onTick();
+    REQUIRE(!poller.isInContact());
+    poller.onPeer(other);
+    poller.onPeer(other);
+    CHECK(output.count(other, MessageKind::ControlsRequest) == 1);
+
+    Poller otherPoller(options, clock, random, otherOutput);
+    otherPoller.onMessage(process, output.sent.back().second);
+    CHECK(otherOutput.sent.empty()); // it knows no better
+    otherPoller.onReply(peerB, replyWith(5, peerB));
+    REQUIRE(otherPoller.onMessage(process, output.sent.back().second));
+    REQUIRE(otherOutput.count(process, MessageKind::Controls) == 1);
+
+    REQUIRE(poller.onMessage(other, otherOutput.sent.back().second));
+    CHECK(output.count(peerB, MessageKind::Poll) == 1);
+    poller.onReply(peerB, replyWith(5, peerB));
+    CHECK(output.index == 5);
+    CHECK(poller.isInContact());
+}
+
+TEST_CASE("poller: a list of control instances from another process is bounded and keeps the seeds", "[poller]")
+{
+    struct Output final : PollerOutput {
+        void sendMessage(Endpoint, const Envelope&) override { }
+        void contactLost() override { }
+        void contactRenewed() override { }
+    };
+    ManualClock clock;
+    Random random(1);
+    Output output;
+    PollerOptions options;
+    options.seeds = { peerA };
+    Poller poller(options, clock, random, output);
+    Controls hint;
+    for (uint16_t i = 0; i < 2 * maxControls; ++i)
+        hint.controls.push_back({ 0x0A030000, i });
+    poller.onMessage(peerB, { MessageKind::Controls, encodeMessage(hint) });
+    CHECK(poller.controls().size() == maxControls);
+    CHECK(std::count(poller.controls().begin(), poller.controls().end(), peerA) == 1);
+    CHECK(poller.onMessage(peerB, { MessageKind::Controls, "no list" }) == false);
+    CHECK(poller.controls().size() == maxControls);
+}
