--- a/daemons/flow_agent_daemon.cc
+++ b/daemons/flow_agent_daemon.cc
@@ -80,7 +80,7 @@
     , m_peers(
           base, endpointSetting(settings, "listen.fabric"),
           [this](Endpoint sender, const cluster::Envelope& envelope) { m_poller.onMessage(sender, envelope); },
-          [this](Endpoint sender, uint8_t* data, size_t size) { m_steering.onFrame(sender, data, size); })
+          [this](Endpoint sender, uint8_t* data, size_t size) { handleFrame(sender, data, size); })
     , m_targetPort(base.context, endpointSetting(settings, "listen.target"), 2048,
           [this](Endpoint, uint8_t* data, size_t size) { m_steering.onTargetPacket(data, size); })
     , m_heartbeats(base.context, endpointSetting(settings, "listen.heartbeats"),
@@ -194,6 +194,12 @@
     return { m_steering.record() };
 }
 
+void FlowAgentDaemon::handleFrame(Endpoint sender, uint8_t* data, size_t size)
+{
+    m_poller.onPeer(sender);
+    m_steering.onFrame(sender, data, size);
+}
+
 void FlowAgentDaemon::sendFrame(Endpoint to, const std::vector<uint8_t>& frame)
 {
     m_peers.sendDatagram(to, frame.data(), frame.size());
@@ -206,6 +212,8 @@
     m_peers.sendDatagram({ flow.caller.address, m_callerPort }, packet, size);
 }
 
+void FlowAgentDaemon::newerStateSeen(StateIndex index) { m_poller.onNewerState(index.value()); }
+
 void FlowAgentDaemon::sendMessage(Endpoint control, const cluster::Envelope& envelope)
 {
     m_peers.send(control, envelope);
@@ -213,7 +221,7 @@
 
 void FlowAgentDaemon::onState(const cluster::ForwardingState& state)
 {
-    m_steering.setState(steering::RouteTable(state.configuration), state.evacuatedDataCentres);
+    m_steering.setState(StateIndex(state.index), steering::RouteTable(state.configuration), state.evacuatedDataCentres);
     m_base.log->write(EventId::StateTaken,
         { { "index", state.index }, { "version", state.configuration.version },
             { "out", state.evacuatedDataCentres.size() } });
--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -1,6 +1,5 @@
-// A new flow goes to the less loaded of two members; a member that must not accept it passes it on to the next one. A
-// packet of a flow that is not in the agent's table is forwarded to the target only when the agent cannot rule out that
-// the target holds the flow.
+// A packet of a flow that is not in the agent's table is forwarded to the target only when the agent cannot rule out
+// that the target holds the flow.
 #include "steering/agent_steering.h"
 
 #include "core/hash.h"
@@ -41,8 +40,9 @@
     m_record.sequence = 1;
 }
 
-void AgentSteering::setState(RouteTable routes, std::set<std::string> evacuated)
+void AgentSteering::setState(StateIndex state, RouteTable routes, std::set<std::string> evacuated)
 {
+    m_state = state;
     bool wasEvacuated = m_evacuatedDataCentres.count(m_options.dataCentre) != 0;
     bool isEvacuated = evacuated.count(m_options.dataCentre) != 0;
     m_routes = std::move(routes);
@@ -199,110 +199,6 @@
         onDelivery(frame, *packet, packetData, packetSize);
 }
 
-// Returns why the target must not receive a new flow now, or null when it may.
-const char* AgentSteering::refusalReason(const FlowId& flow)
-{
-    if (!m_hasState)
-        return "no state from control yet";
-    const ServicePolicy* policy
-        = m_registration.lastHeartbeat() ? m_routes.policy(m_registration.lastHeartbeat()->service) : nullptr;
-    if (const char* reason = m_admission.refusalReason(m_registration, policy))
-        return reason;
-    if (!isRegistered())
-        return "target is not registered yet";
-    if (m_evacuatedDataCentres.count(m_options.dataCentre) != 0)
-        return "data centre is evacuated";
-    if (m_flows.isFull() || (policy && policy->maxFlows != 0 && m_flows.size() >= policy->maxFlows))
-        return "flow limit is reached";
-    if (m_requests.isOverloaded(requestPolicyOf(flow).timeout))
-        return "requests would wait too long";
-    return nullptr;
-}
-
-void AgentSteering::onOffer(Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
-{
-    TargetFlow* known = m_flows.find(packet.flow);
-    if (known && known->isReplacedBy(packet)) {
-        eraseFlow(packet.flow); // another target may take the new flow, so this agent must deny it
-        known = nullptr;
-    }
-    bool hasTarget = m_registration.state() != TargetState::Departed && !m_registration.isContested();
-    if (known && known->synForwarded && !known->targetEnded && hasTarget) {
-        known->entryToNotify = frame.entry;
-        forwardToTarget(frame, packet.flow, data, size); // a retransmitted SYN of a flow that the target has
-        return;
-    }
-    ServiceKey ownService = m_registration.lastHeartbeat() ? m_registration.lastHeartbeat()->service : ServiceKey();
-    const char* reason = frame.service != ownService ? "target runs another service" : refusalReason(packet.flow);
-    if (reason) {
-        bool mayAcceptLater = !m_hasState || m_registration.state() == TargetState::Unknown || isAwaitingRegistration();
-        frame.mayAcceptLater = frame.mayAcceptLater || mayAcceptLater;
-        passOn(frame, packet, reason, data, size);
-        return;
-    }
-    const Route* route = m_routes.find(packet.flow.service);
-    if (!m_outliers.mayTakeFlow(route && route->isIdempotent) && !isLastResort(frame)) {
-        passOnEjected(frame, packet, data, size);
-        return;
-    }
-    uint16_t ownLoad = load();
-    bool isTrial = m_outliers.state() == OutlierState::HalfOpen && !isLastResort(frame);
-    if (isTrial) {
-        accept(frame, packet, data, size); // the failures in its load would lose any comparison
-        return;
-    }
-    if (frame.shouldCompareLoad && frame.leastLoadedPosition == noPosition
-        && frame.nextPosition < frame.members.size()) {
-        frame.leastLoadedPosition = static_cast<uint8_t>(frame.nextPosition - 1);
-        frame.lowestLoad = ownLoad;
-        // `next` is advanced before the frame is sent, so the receiver counts itself as visited.
-        Endpoint next = frame.members[frame.nextPosition++];
-        encodeFrame(frame, data, size, m_frameBuffer);
-        m_output.sendFrame(next, m_frameBuffer);
-        m_observer.onDecision(Decision::PassedOn, packet.flow, { next, "compare", m_routes.version(), ownLoad });
-        return;
-    }
-    if (frame.shouldCompareLoad && frame.leastLoadedPosition != noPosition && frame.lowestLoad < ownLoad) {
-        passOn(frame, packet, "higher load", data, size);
-        return;
-    }
-    accept(frame, packet, data, size);
-}
-
-// A member that is ejected has put itself at the end of the list at its first visit.
-bool AgentSteering::isLastResort(const Frame& frame) const
-{
-    return std::count(frame.members.begin(), frame.members.begin() + frame.nextPosition, m_options.self) > 1;
-}
-
-// The flow comes back here when no other member takes it, so that a service does not lose all its targets. Of several
-// ejected members, the comparison of loads selects the one with fewer failures.
-void AgentSteering::passOnEjected(Frame& frame, const FlowPacket& packet, const uint8_t* data, size_t size)
-{
-    if (frame.members.size() < maxFrameMembers)
-        frame.members.push_back(m_options.self);
-    passOn(frame, packet, "target is ejected", data, size);
-}
-
-void AgentSteering::accept(Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
-{
-    Time now = m_clock.now();
-    uint16_t ownLoad = load();
-    TargetFlow* flow = m_flows.replace(packet.flow, now);
-    if (!flow)
-        return;
-    flow->synForwarded = true;
-    flow->callerIsn = packet.sequence;
-    flow->connectStart = now - packet.age;
-    flow->entryToNotify = frame.entry;
-    m_admission.onSynForwarded(packet.flow);
-    m_outliers.onFlowAccepted();
-    frame.shouldCompareLoad = false;
-    forwardToTarget(frame, packet.flow, data, size);
-    flow->synMark = m_lastMark;
-    m_observer.onDecision(Decision::Accepted, packet.flow, { frame.entry, "", m_routes.version(), ownLoad });
-}
-
 // Sends the frame to the next member, or back to the entry after the last one. When a load was compared, the member
 // that reported it comes before the members that were not visited.
 void AgentSteering::passOn(Frame& frame, const FlowPacket& packet, const char* reason, const uint8_t* data, size_t size)
@@ -322,7 +218,8 @@
     }
     encodeFrame(frame, data, size, m_frameBuffer);
     m_output.sendFrame(next, m_frameBuffer);
-    m_observer.onDecision(Decision::PassedOn, packet.flow, { next, reason, m_routes.version() });
+    m_observer.onDecision(
+        Decision::PassedOn, packet.flow, { next, reason, m_routes.version(), 0, m_state, frame.state });
 }
 
 bool AgentSteering::canTargetHold(const FlowId& flow) const
@@ -351,6 +248,8 @@
     TargetFlow* flow = m_flows.find(packet.flow);
     if (!flow) {
         onUnknownFlow(frame, packet, data, size);
+    } else if (!flow->isOwn(packet)) {
+        onOtherFlow(*flow, frame, packet, data, size);
     } else if (flow->targetEnded) {
         std::vector<uint8_t> reset = m_format.reset(packet.flow, packet.acknowledged);
         m_output.sendToCaller(packet.flow, reset.data(), reset.size());
@@ -376,6 +275,17 @@
     }
 }
 
+// The packet is of a later flow, which another target may hold, or a late one of an earlier flow. The target must not
+// get it, because that would look like a packet of the known flow.
+void AgentSteering::onOtherFlow(
+    const TargetFlow& known, Frame& frame, const FlowPacket& packet, const uint8_t* data, size_t size)
+{
+    const char* reason = "of another flow between its ends";
+    m_observer.onDecision(Decision::NotHeld, packet.flow, { frame.entry, reason, m_routes.version() });
+    if (!known.isOfPrevious(packet))
+        passOn(frame, packet, reason, data, size);
+}
+
 void AgentSteering::onUnknownFlow(Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
 {
     bool isKnownAbsent
@@ -428,11 +338,13 @@
         { {}, "all slots are taken", m_routes.version(), static_cast<uint32_t>(m_requests.queuedCount()) });
 }
 
-// A caller that closes before the answer has given up. A queued request is still forwarded unless the caller sent a
-// reset, and the target ends it without processing it.
+// A caller that closes before the answer has given up. A reset ends both directions. A queued request is still
+// forwarded unless the caller sent a reset, and the target ends it without processing it.
 void AgentSteering::onCallerClosed(TargetFlow& flow, const FlowPacket& packet)
 {
     m_flows.markClosed(flow, &TargetFlow::callerClosed);
+    if (packet.reset)
+        m_flows.markClosed(flow, &TargetFlow::targetClosed);
     std::optional<QueuedRequest> queued = m_requests.cancel(packet.flow, flow);
     if (queued && !packet.reset)
         forwardToTarget(*queued); // the target accepts the FIN only after the data before it
--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -2,7 +2,7 @@
 // time only from the given clock. Not thread-safe.
 //
 //     AgentSteering steering(options, format, clock, observer, output);
-//     steering.setState(routes, evacuated);
+//     steering.setState(index, routes, evacuated);
 //     steering.onHeartbeat(heartbeat);
 //     steering.onFrame(sender, data, size); // from an entry or another agent
 //     steering.onTargetPacket(data, size); // sent or bounced by the target
@@ -12,8 +12,9 @@
 // Every new flow and every request of the target passes through its agent, whichever entry sent it. The agent therefore
 // enforces draining, evacuation and the warm-up budget across all entries, and queues the requests beyond the target's
 // slots in the order of RequestQueue. The flow table holds only the flows that this process has seen; the target is the
-// authority on which flows it holds. A flow is reset because its target has ended only when the target has bounced a
-// packet of it after another start was announced.
+// authority on which flows it holds. An entry names the service of a new flow; an agent whose state is newer than that
+// of the entry admits it only if its own routes name the service too. A flow is reset because its target has ended only
+// when the target has bounced a packet of it after another start was announced.
 //
 // Memory: about 150 bytes for each of at most `maxFlows` flows, about 100 bytes for each of `forwardedPacketSlots`
 // frame heads, and the RequestQueue.
@@ -53,13 +54,15 @@
     virtual void sendFrame(Endpoint to, const std::vector<uint8_t>& frame) = 0;
     virtual void sendToTarget(const uint8_t* packet, size_t size) = 0;
     virtual void sendToCaller(const FlowId&, const uint8_t* packet, size_t size) = 0;
+    // An entry has a newer state than this process, which should request it.
+    virtual void newerStateSeen(StateIndex) { }
 };
 
 class AgentSteering {
 public:
     AgentSteering(AgentOptions, const PacketFormat&, const Clock&, DecisionObserver&, AgentOutput&);
 
-    void setState(RouteTable, std::set<std::string> evacuated);
+    void setState(StateIndex, RouteTable, std::set<std::string> evacuated);
     // A heartbeat of a service that the configuration in force does not name is kept until a configuration names it.
     // All are kept before the first state.
     HeartbeatResult onHeartbeat(const Heartbeat&);
@@ -107,10 +110,16 @@
 
     const char* refusalReason(const FlowId&);
     void onOffer(Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    bool isOutdated(const Frame&, const FlowPacket&) const;
+    void denyOutdated(Frame&, const FlowPacket&, const uint8_t* data, size_t size);
+    bool handleCopy(TargetFlow& known, const Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void accept(Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    void offerBeside(TargetFlow& known, Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    TargetFlow* replaceByOther(const FlowId&, TargetFlow& known);
     bool isLastResort(const Frame&) const;
     void passOnEjected(Frame&, const FlowPacket&, const uint8_t* data, size_t size);
     void onDelivery(Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    void onOtherFlow(const TargetFlow& known, Frame&, const FlowPacket&, const uint8_t* data, size_t size);
     void onUnknownFlow(Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void fanOut(const Frame&, const uint8_t* data, size_t size);
     void onKnownFlow(TargetFlow&, Frame&, const FlowPacket&, uint8_t* data, size_t size);
@@ -121,6 +130,7 @@
     void onCallerClosed(TargetFlow&, const FlowPacket&);
     void onTargetClosed(const FlowPacket&, TargetFlow&);
     void onBounced(const FlowPacket&, uint8_t* data, size_t size);
+    void passOnBounced(const FlowPacket&, uint8_t* data, size_t size);
     bool canTargetHold(const FlowId&) const;
     RequestPolicy requestPolicyOf(const FlowId&) const;
     void recordResult(const FlowPacket&, TargetFlow&);
@@ -142,6 +152,7 @@
     const Clock& m_clock;
     DecisionObserver& m_observer;
     AgentOutput& m_output;
+    StateIndex m_state; // 0: none yet
     RouteTable m_routes;
     bool m_hasState = false;
     std::set<std::string> m_evacuatedDataCentres;
--- a/libs/steering/decisions.cc
+++ b/libs/steering/decisions.cc
@@ -9,6 +9,8 @@
         return "offered";
     case Decision::Accepted:
         return "accepted";
+    case Decision::Repeated:
+        return "repeated";
     case Decision::Waiting:
         return "waiting";
     case Decision::PassedOn:
@@ -23,6 +25,8 @@
         return "located";
     case Decision::Refused:
         return "refused";
+    case Decision::Outdated:
+        return "outdated";
     case Decision::Reset:
         return "reset";
     case Decision::NoRoute:
--- a/libs/steering/entry_steering.cc
+++ b/libs/steering/entry_steering.cc
@@ -10,13 +10,15 @@
 namespace {
 
     // Members that a new flow is offered to. With more, a caller would wait longer than its latency objective.
-    constexpr size_t maxOfferMembers = 8;
+    constexpr size_t maxCandidates = 8;
     // Bounds the list of pending offers. Offers beyond it are not tracked, so they never count as unanswered.
     constexpr size_t maxPendingOffers = 4096;
     constexpr size_t maxDenied = 4096;
+    constexpr size_t maxOutdatedOffers = 1024; // further ones wait for the caller's next copy
     // A denied flow is dropped from the list when the members are not confirmed within this time. The caller's
     // retransmission starts a new search.
     constexpr Duration confirmationTimeout = std::chrono::seconds(1);
+    constexpr uint32_t resetWindowBytes = 1 << 16; // more than a caller sends without an acknowledgement
     constexpr Duration expiryInterval = std::chrono::seconds(1);
     constexpr Duration defaultIdleLimit = std::chrono::seconds(15);
 
@@ -36,10 +38,12 @@
 {
 }
 
-void EntrySteering::setState(RouteTable routes, std::set<std::string> evacuated)
+void EntrySteering::setState(StateIndex state, RouteTable routes, std::set<std::string> evacuated)
 {
+    m_state = state;
     m_routes = std::move(routes);
     m_evacuated = std::move(evacuated);
+    repeatOutdatedOffers();
 }
 
 void EntrySteering::onCallerPacket(const uint8_t* data, size_t size)
@@ -75,6 +79,12 @@
 }
 
 void EntrySteering::onSyn(const FlowPacket& packet, const uint8_t* data, size_t size)
+{
+    offer(packet, m_clock.now(), data, size);
+}
+
+// `arrived` is earlier than now for a SYN that is offered again.
+void EntrySteering::offer(const FlowPacket& packet, Time arrived, const uint8_t* data, size_t size)
 {
     const Route* route = m_routes.find(packet.flow.service);
     if (!route) {
@@ -83,7 +93,7 @@
     }
     uint64_t hash = packet.flow.hash();
     ServiceKey service = route->selectService(hash);
-    std::vector<Endpoint> candidates = m_members.candidatesForNewFlow(hash, service, m_evacuated, maxOfferMembers);
+    std::vector<Endpoint> candidates = m_members.candidatesForNewFlow(hash, service, m_evacuated, maxCandidates);
     if (candidates.empty() && !m_members.hasMembersOf(service)) {
         m_observer.onDecision(Decision::Unready, packet.flow, { {}, "no member is known yet", m_routes.version() });
         return;
@@ -100,10 +110,14 @@
     frame.shouldCompareLoad = packet.synRetransmission == 0 && candidates.size() > 1;
     frame.nextPosition = 1;
     frame.service = service;
+    frame.state = m_state;
     frame.entry = m_options.self;
     CachedFlow* cachedFlow = findOrAddFlow(packet.flow);
+    bool isOtherFlow = cachedFlow && !(cachedFlow->hasCallerIsn && cachedFlow->callerIsn == packet.sequence);
+    if (isOtherFlow)
+        startFlow(packet.flow, *cachedFlow, packet.sequence);
     if (cachedFlow && packet.synRetransmission == 0)
-        cachedFlow->firstSynAt = m_clock.now();
+        cachedFlow->firstSynAt = arrived;
     if (cachedFlow && cachedFlow->agent.port != 0) {
         frame.members.push_back(cachedFlow->agent);
         frame.shouldCompareLoad = false;
@@ -117,7 +131,7 @@
         m_offers.push_back(
             { packet.flow, frame.members[0], frame.shouldCompareLoad ? second : Endpoint(), m_clock.now() });
     send(frame.members[0], frame, data, size);
-    m_observer.onDecision(Decision::Offered, packet.flow, { frame.members[0], "", m_routes.version() });
+    m_observer.onDecision(Decision::Offered, packet.flow, { frame.members[0], "", m_routes.version(), 0, m_state });
 }
 
 void EntrySteering::onNonSyn(const FlowPacket& packet, const uint8_t* data, size_t size)
@@ -128,7 +142,7 @@
         return;
     }
     cachedFlow->lastPacket = m_clock.now();
-    cachedFlow->isClosing = cachedFlow->isClosing || packet.fin || packet.reset;
+    cachedFlow->isClosing = cachedFlow->isClosing || cachedFlow->isEnd(packet);
     bool isRetransmission = cachedFlow->recordData(packet);
     const MemberRecord* member = cachedFlow->agent.port != 0 ? m_members.find(cachedFlow->agent) : nullptr;
     if (member && member->state == TargetState::Departed) {
@@ -157,6 +171,12 @@
     return isRetransmission;
 }
 
+bool EntrySteering::CachedFlow::isEnd(const FlowPacket& packet) const
+{
+    bool isNearData = packet.sequence - lastDataSequence + resetWindowBytes < 2 * resetWindowBytes;
+    return packet.fin || (packet.reset && (!hasData || isNearData));
+}
+
 void EntrySteering::search(const FlowPacket& packet, Endpoint lastKnownAgent, const uint8_t* data, size_t size)
 {
     const Route* route = m_routes.find(packet.flow.service);
@@ -242,6 +262,10 @@
         return;
     m_members.markResponsive(sender);
     m_unansweredOffers.erase(sender);
+    if (packet->syn && frame.isOutdated) {
+        onOfferOutdated(sender, frame, *packet, data, size);
+        return;
+    }
     if (packet->syn) {
         onOfferReturned(sender, frame, *packet);
         return;
@@ -282,6 +306,50 @@
             Decision::Unready, packet.flow, { sender, "another copy may be open", m_routes.version() });
 }
 
+void EntrySteering::onOfferOutdated(
+    Endpoint sender, const Frame& frame, const FlowPacket& packet, const uint8_t* data, size_t size)
+{
+    DecisionInputs inputs { sender, "a member has a newer state", m_routes.version(), 0, m_state, frame.state };
+    if (frame.state == StateIndex() || frame.state > StateIndex(m_state.value() + maxStateLead)) {
+        inputs.reason = "impossible state index";
+        m_observer.onDecision(Decision::Malformed, packet.flow, inputs);
+        return;
+    }
+    m_observer.onDecision(Decision::Outdated, packet.flow, inputs);
+    // The agent has answered.
+    m_offers.erase(std::remove_if(m_offers.begin(), m_offers.end(),
+                       [&](const PendingOffer& offer) { return offer.flow == packet.flow; }),
+        m_offers.end());
+    auto found = m_flows.find(packet.flow);
+    if (found == m_flows.end())
+        return;
+    Time arrived = packet.synRetransmission == 0 ? found->second.firstSynAt : m_clock.now();
+    if (m_outdatedOffers.size() < maxOutdatedOffers)
+        m_outdatedOffers.push_back({ frame.state, arrived, { data, data + size } });
+    if (frame.state > m_state)
+        m_output.newerStateSeen(frame.state);
+    repeatOutdatedOffers();
+}
+
+// Offers the SYNs again whose state has arrived. Those that are too old are left to the caller's next copy.
+void EntrySteering::repeatOutdatedOffers()
+{
+    std::deque<OutdatedOffer> offers;
+    offers.swap(m_outdatedOffers);
+    for (OutdatedOffer& outdated : offers) {
+        if (m_clock.now() - outdated.arrived >= m_options.refusalWindow)
+            continue;
+        if (outdated.needed > m_state) {
+            m_outdatedOffers.push_back(std::move(outdated));
+            continue;
+        }
+        std::optional<FlowPacket> packet
+            = m_format.decode(outdated.bytes.data(), outdated.bytes.size(), Direction::FromCaller);
+        if (packet)
+            offer(*packet, outdated.arrived, outdated.bytes.data(), outdated.bytes.size());
+    }
+}
+
 void EntrySteering::onAllMembersDenied(const FlowPacket& packet, CachedFlow& cachedFlow)
 {
     std::vector<Endpoint> members = m_searches.takeDenials(packet.flow); // the next packet starts a new search
@@ -363,6 +431,23 @@
     return &created;
 }
 
+// The caller opens another flow between the same ends. What is known of the earlier one does not apply to it, but for
+// the agent, which is asked first because the SYN may be a late copy.
+void EntrySteering::startFlow(const FlowId& id, CachedFlow& cachedFlow, uint32_t callerIsn)
+{
+    if (cachedFlow.isAwaitingConfirmation) {
+        m_deniedFlows.erase(std::remove_if(m_deniedFlows.begin(), m_deniedFlows.end(),
+                                [&](const DeniedFlow& denied) { return denied.flow == id; }),
+            m_deniedFlows.end());
+    }
+    Endpoint agent = cachedFlow.agent;
+    cachedFlow = {};
+    cachedFlow.agent = agent;
+    cachedFlow.lastPacket = m_clock.now();
+    cachedFlow.hasCallerIsn = true;
+    cachedFlow.callerIsn = callerIsn;
+}
+
 void EntrySteering::countUnansweredOffer(Endpoint agent)
 {
     if (agent.port == 0)
@@ -408,6 +493,7 @@
     steerEarlyPackets();
     checkUnansweredOffers();
     retryUnansweredPackets();
+    repeatOutdatedOffers();
     expireDeniedFlows();
     if (m_clock.now() - m_lastExpiry >= expiryInterval)
         expire();
--- a/libs/steering/entry_steering.h
+++ b/libs/steering/entry_steering.h
@@ -2,14 +2,15 @@
 // output. Not thread-safe.
 //
 //     EntrySteering steering(options, format, clock, observer, output);
-//     steering.setState(routes, evacuated);
+//     steering.setState(index, routes, evacuated);
 //     steering.members().update(record);
 //     steering.onCallerPacket(data, size);
 //     steering.onFrame(agent, data, size);
 //
 // Correctness does not depend on state of the entry: its flow cache is a hint, and the target decides whether it holds
-// a flow. Memory: at most `maxCachedFlows` cached flows of about 80 bytes, `maxDenied` denied flows, the packets kept
-// for a retry and the early packets.
+// a flow. An agent denies a new flow whose service its newer state excludes; the entry then requests that state and
+// offers the flow again. Memory: at most `maxCachedFlows` cached flows of about 80 bytes, `maxDenied` denied flows, the
+// packets kept for a retry and the early packets.
 //
 // A flow that all members deny is reset only when the member list is proved complete: a target gets no flow before it
 // is in the register of members, so the list that the leader confirms after the denial, together with the routes of the
@@ -53,14 +54,17 @@
     virtual void sendToCaller(const FlowId&, const std::vector<uint8_t>& packet) = 0;
     // Asks the leader to confirm the member list. Answered by onMembersConfirmed() or not at all; the entry asks again.
     virtual void confirmMembers() = 0;
+    // An agent has a newer state than this entry, which should request it.
+    virtual void newerStateSeen(StateIndex) { }
 };
 
 class EntrySteering {
 public:
     EntrySteering(EntryOptions, const PacketFormat&, const Clock&, DecisionObserver&, EntryOutput&);
 
-    // Replaces the routes and the evacuated data centres. Open flows stay at their targets.
-    void setState(RouteTable, std::set<std::string> evacuated);
+    // Replaces the routes and the evacuated data centres by those of the replicated state with this index. Open flows
+    // stay at their targets.
+    void setState(StateIndex, RouteTable, std::set<std::string> evacuated);
     const RouteTable& routes() const { return m_routes; }
     Members& members() { return m_members; }
     // True when there are routes and at least one member.
@@ -83,6 +87,8 @@
         Endpoint agent; // of the target that holds the flow; port 0: unknown
         Time lastPacket;
         Time firstSynAt; // arrival of the original SYN
+        bool hasCallerIsn = false; // callerIsn is known
+        uint32_t callerIsn = 0; // of the newest SYN
         uint32_t lastDataSequence = 0; // of the caller's newest data; valid when hasData
         bool hasData = false;
         bool isAwaitingConfirmation = false; // listed in m_deniedFlows
@@ -90,6 +96,8 @@
 
         // Records the data of a packet. Returns true when it is a retransmission: the caller has had no answer.
         bool recordData(const FlowPacket&);
+        // True when the packet ends the flow. A reset counts only near the caller's newest data.
+        bool isEnd(const FlowPacket&) const;
     };
     // The packet that started a search, kept for a retry when the walk is not answered.
     struct UnansweredPacket {
@@ -104,6 +112,12 @@
         Time deniedAt;
         std::vector<Endpoint> members;
     };
+    // A SYN that an agent denied because of its newer state. It is offered again when this entry has that state.
+    struct OutdatedOffer {
+        StateIndex needed;
+        Time arrived;
+        std::vector<uint8_t> bytes;
+    };
     struct PendingOffer {
         FlowId flow;
         Endpoint first;
@@ -114,6 +128,7 @@
     void steer(const FlowPacket&, const uint8_t* data, size_t size);
     void steerEarlyPackets();
     void onSyn(const FlowPacket&, const uint8_t* data, size_t size);
+    void offer(const FlowPacket&, Time arrived, const uint8_t* data, size_t size);
     void onNonSyn(const FlowPacket&, const uint8_t* data, size_t size);
     void search(const FlowPacket&, Endpoint lastKnownAgent, const uint8_t* data, size_t size);
     void send(const SearchStep&, const FlowPacket&, const uint8_t* data, size_t size);
@@ -122,11 +137,14 @@
     void onLocated(Endpoint sender, const FlowId&);
     void onReturned(Endpoint sender, const Frame&, const uint8_t* packet, size_t size);
     void onOfferReturned(Endpoint sender, const Frame&, const FlowPacket&);
+    void onOfferOutdated(Endpoint sender, const Frame&, const FlowPacket&, const uint8_t* data, size_t size);
+    void repeatOutdatedOffers();
     void onAllMembersDenied(const FlowPacket&, CachedFlow&);
     bool isDeniedByAllMembers(const DeniedFlow&) const;
     void refuse(const FlowPacket&, const char* reason);
     void send(Endpoint agent, const Frame&, const uint8_t* packet, size_t size);
     CachedFlow* findOrAddFlow(const FlowId&);
+    void startFlow(const FlowId&, CachedFlow&, uint32_t callerIsn);
     void countUnansweredOffer(Endpoint agent);
     void checkUnansweredOffers();
     void retryUnansweredPackets();
@@ -138,6 +156,7 @@
     const Clock& m_clock;
     DecisionObserver& m_observer;
     EntryOutput& m_output;
+    StateIndex m_state; // 0: none yet
     RouteTable m_routes;
     std::set<std::string> m_evacuated;
     Members m_members;
@@ -145,6 +164,7 @@
     EarlyPackets m_earlyPackets;
     absl::flat_hash_map<FlowId, CachedFlow> m_flows;
     std::deque<PendingOffer> m_offers; // oldest first
+    std::deque<OutdatedOffer> m_outdatedOffers; // in the order of the denials, at most maxOutdatedOffers
     std::deque<UnansweredPacket> m_unansweredPackets; // oldest first
     std::deque<DeniedFlow> m_deniedFlows; // oldest first
     absl::flat_hash_map<Endpoint, uint8_t> m_unansweredOffers; // by agent
