--- a/libs/raft/raft_test.cc
+++ b/libs/raft/raft_test.cc
@@ -1,110 +1,15 @@
 #include "raft/raft.h"
 
 #include "raft/codec.h"
+#include "raft/test_group.h"
 
 #include <catch2/catch.hpp>
 
 using namespace cicadaward;
 using namespace cicadaward::raft;
-
-namespace {
-
 using std::chrono::milliseconds;
 
-std::vector<InstanceId> ids(uint64_t first, uint64_t last)
-{
-    std::vector<InstanceId> result;
-    for (uint64_t id = first; id <= last; ++id)
-        result.emplace_back(id);
-    return result;
-}
-
-// Stored state of instance `id` in a group of instances 1 to `size`: the configuration (index 1, term 1) and one
-// command for each of `terms`.
-StoreContents makeContents(InstanceId id, uint64_t size, uint64_t term, const std::vector<uint64_t>& terms)
-{
-    StoreContents contents;
-    contents.instance = id;
-    contents.entries = bootstrapBatch(ids(1, size)).entries;
-    contents.state = { Term(term), InstanceId() };
-    for (uint64_t entryTerm : terms)
-        contents.entries.push_back({ contents.entries.size() + 1, Term(entryTerm), EntryKind::Command, "x" });
-    return contents;
-}
-
-// Instances that share a clock. The network loses only messages from or to isolated instances and those that `loses`
-// names, and disk writes complete at once.
-struct Group {
-    explicit Group(uint64_t size, RaftOptions raftOptions = {})
-        : options(raftOptions)
-    {
-        for (InstanceId id : ids(1, size))
-            instances.emplace(id, std::make_unique<Raft>(options, clock, random, makeContents(id, size, 1, {})));
-        while (!leader())
-            advanceTime(milliseconds(50));
-        advanceTime(milliseconds(200));
-    }
-    void addEmptyInstance(InstanceId id)
-    {
-        StoreContents contents;
-        contents.instance = id;
-        instances.emplace(id, std::make_unique<Raft>(options, clock, random, contents));
-    }
-    Raft* leader()
-    {
-        for (auto& [id, instance] : instances) {
-            if (instance->isLeader() && isolated.count(id) == 0)
-                return instance.get();
-        }
-        return nullptr;
-    }
-    // Handles the event and all events that follow from it. Returns the RequestResult, if any.
-    std::optional<RequestResult> dispatch(InstanceId id, RaftEvent event)
-    {
-        std::optional<RequestResult> result;
-        std::deque<std::pair<InstanceId, RaftEvent>> queue { { id, std::move(event) } };
-        while (!queue.empty()) {
-            auto [to, next] = std::move(queue.front());
-            queue.pop_front();
-            for (RaftAction& action : instances.at(to)->handle(std::move(next))) {
-                if (auto* message = std::get_if<SendMessage>(&action)) {
-                    InstanceId target = message->message.to;
-                    bool isLost
-                        = isolated.count(to) != 0 || isolated.count(target) != 0 || (loses && loses(message->message));
-                    if (!isLost && instances.count(target) > 0)
-                        queue.emplace_back(target, MessageReceived { std::move(message->message) });
-                } else if (auto* persist = std::get_if<Persist>(&action)) {
-                    queue.emplace_back(to, Persisted { persist->batchNumber });
-                } else if (auto* answer = std::get_if<RequestResult>(&action)) {
-                    result = *answer;
-                } else if (std::holds_alternative<StopReady>(action)) {
-                    stopped.insert(to);
-                }
-            }
-        }
-        return result;
-    }
-    void advanceTime(Duration duration)
-    {
-        for (Duration step = milliseconds(25); duration > Duration(0); duration -= step) {
-            clock.advance(step);
-            for (auto& [id, instance] : instances)
-                dispatch(id, Tick {});
-        }
-    }
-    RequestOutcome change(MembershipChange kind, uint64_t id)
-    {
-        return dispatch(leader()->self(), ChangeMembership { 1, kind, InstanceId(id) })->outcome;
-    }
-
-    RaftOptions options;
-    ManualClock clock;
-    Random random { 5 };
-    std::map<InstanceId, std::unique_ptr<Raft>> instances;
-    std::set<InstanceId> isolated;
-    std::function<bool(const RaftMessage&)> loses;
-    std::set<InstanceId> stopped;
-};
+namespace {
 
 std::vector<RaftMessage> sentMessages(const std::vector<RaftAction>& actions)
 {
@@ -230,7 +135,7 @@
 
 TEST_CASE("A partitioned leader rejects reads and proposals and steps down")
 {
-    Group group(3);
+    TestGroup group(3);
     Raft* old = group.leader();
     REQUIRE(old->canRead());
     group.isolated = { old->self() };
@@ -255,7 +160,7 @@
 {
     RaftOptions options;
     options.retainedEntries = 0;
-    Group group(3, options);
+    TestGroup group(3, options);
     InstanceId leader = group.leader()->self();
     InstanceId follower(leader == InstanceId(1) ? 2 : 1);
     Term term = group.leader()->status().term;
@@ -290,7 +195,7 @@
     options.maxEntryBytes = 100;
     options.maxUncommittedBytes = 250;
     options.maxUncommittedEntries = 4;
-    Group group(3, options);
+    TestGroup group(3, options);
     InstanceId leader = group.leader()->self();
     auto propose = [&](size_t size) { return group.dispatch(leader, Propose { 1, std::string(size, 'x') })->outcome; };
     CHECK(propose(101) == RequestOutcome::TooLarge);
@@ -314,7 +219,7 @@
 {
     RaftOptions options;
     options.promoteLearners = false;
-    Group group(3, options);
+    TestGroup group(3, options);
     InstanceId lost = group.leader()->self() == InstanceId(3) ? InstanceId(2) : InstanceId(3);
     group.instances.erase(lost);
     group.advanceTime(milliseconds(1100));
@@ -346,7 +251,7 @@
     RaftOptions options;
     options.retainedEntries = 5;
     options.retainedBytes = 100;
-    Group group(1, options);
+    TestGroup group(1, options);
     InstanceId leader = group.leader()->self();
     auto checkRetained = [&](size_t entryBytes, LogIndex retained) {
         for (int i = 0; i < 10; ++i)
@@ -362,7 +267,7 @@
 
 TEST_CASE("A planned stop transfers leadership before the process may exit")
 {
-    Group group(3);
+    TestGroup group(3);
     InstanceId old = group.leader()->self();
     Term term = group.leader()->status().term;
     group.dispatch(old, Stop {});
@@ -370,7 +275,7 @@
     REQUIRE(group.leader());
     CHECK(group.leader()->self() != old);
     CHECK(group.leader()->status().term == Term(term.value() + 1));
-    Group single(1);
+    TestGroup single(1);
     single.dispatch(InstanceId(1), Stop {});
     CHECK(single.stopped.size() == 1);
 }
