--- a/libs/cluster/group_simulation.cc
+++ b/libs/cluster/group_simulation.cc
@@ -13,6 +13,7 @@
     // A thousandth of the sizes in use, for small disks.
     constexpr uint64_t diskBytes = 64 << 10;
     constexpr size_t maxSmallMessageBytes = 64;
+    constexpr size_t maxSmallInflightSnapshotBytes = 256;
     constexpr size_t maxSmallUncommittedBytes = 8 << 10;
     constexpr LogIndex smallEntriesPerSnapshot = 36;
     constexpr size_t smallBytesPerSnapshot = 4 << 10;
@@ -46,6 +47,7 @@
     if (hasSmallDisks) {
         options.entriesPerSnapshot = smallEntriesPerSnapshot;
         options.consensus.maxMessageBytes = maxSmallMessageBytes;
+        options.consensus.maxInflightSnapshotBytes = maxSmallInflightSnapshotBytes;
         options.consensus.maxUncommittedBytes = maxSmallUncommittedBytes;
         options.consensus.retainedEntries = options.entriesPerSnapshot;
     }
--- a/libs/raft/raft.h
+++ b/libs/raft/raft.h
@@ -18,6 +18,7 @@
 #include "core/clock.h"
 #include "core/random.h"
 #include "raft/events.h"
+#include "raft/incoming_snapshot.h"
 #include "raft/raft_log.h"
 
 #include <deque>
@@ -41,6 +42,9 @@
     size_t maxProbeBytes = 1 << 10; // entries in a probe of a follower's log; larger ones follow its answer
     size_t maxMessageEntries = 1024;
     size_t maxInflightMessages = 16; // unanswered AppendRequests per follower
+    // Unanswered snapshot data per follower, but at least one chunk of maxMessageBytes. It bounds how long heartbeats
+    // and votes wait behind a copy.
+    size_t maxInflightSnapshotBytes = 256 << 10;
     size_t maxUncommittedBytes = 8 << 20; // proposals beyond these limits are answered with LogFull
     size_t maxUncommittedEntries = 4096;
     size_t maxLogBytes = 64 << 20; // the same, for all entries in memory, until SnapshotTaken compacts the log
@@ -130,7 +134,9 @@
         bool isProbeInFlight = false; // Probe: one request is unanswered
         std::deque<LogIndex> inflight; // Replicate: last index of each unanswered request
         std::shared_ptr<const LogSnapshot> snapshot; // Snapshot: the one that is being sent
-        uint64_t snapshotOffset = 0;
+        uint64_t snapshotAcked = 0; // the peer has the data before this offset
+        uint64_t snapshotSent = 0; // the data before this offset has been sent; at least snapshotAcked
+        uint64_t newestAckedChunk = 0; // SnapshotChunk::sentAt of the newest chunk that the peer has answered
         std::optional<Time> lastAckedSendTime; // send time of the newest message that the peer has answered
     };
     struct Transfer {
@@ -192,7 +198,8 @@
     void sendAppend(InstanceId id, Peer& peer, bool heartbeat);
     std::vector<LogEntry> entriesOfProbe(const Peer&) const;
     void sendContact(InstanceId id, const LogSnapshot&);
-    void sendChunk(InstanceId id, Peer& peer);
+    void sendChunks(InstanceId id, Peer& peer);
+    void sendChunk(InstanceId id, const LogSnapshot&, uint64_t offset);
     LogIndex compactionIndex(LogIndex snapshotIndex) const;
     void heartbeat();
     void advanceCommit();
@@ -234,7 +241,7 @@
     Time m_lastLeaderContact; // no vote for another candidate until an election timeout after this
     std::set<InstanceId> m_votesGranted;
     uint64_t m_voteBatchNumber = 0; // batch that holds this candidate's vote for itself
-    std::optional<LogSnapshot> m_incomingSnapshot; // snapshot that is being received
+    std::optional<detail::IncomingSnapshot> m_incomingSnapshot; // snapshot that is being received
 
     // Leader
     std::map<InstanceId, Peer> m_peers;
--- a/libs/raft/raft_replication.cc
+++ b/libs/raft/raft_replication.cc
@@ -1,6 +1,7 @@
 // Log replication of class Raft: AppendEntries, commitIndex, snapshots and the leader's lease.
 // The leader first probes a follower with one request at a time until it finds the matchIndex, then pipelines up to
-// maxInflightMessages requests. A follower that needs compacted entries is sent the snapshot in chunks. Each heartbeat
+// maxInflightMessages requests. A follower that needs compacted entries is sent the snapshot in chunks, with a limit of
+// unanswered data. Each heartbeat
 // sends every peer a small message, so that a peer to which large ones don't get through keeps its leader.
 #include "raft/raft.h"
 
@@ -76,7 +77,9 @@
             continue;
         }
         sendContact(id, *peer.snapshot);
-        sendChunk(id, peer);
+        if (peer.snapshotSent > peer.snapshotAcked) // the first unanswered chunk or its answer may be lost
+            sendChunk(id, *peer.snapshot, peer.snapshotAcked);
+        sendChunks(id, peer);
     }
 }
 
@@ -110,9 +113,10 @@
     if (!prevLogTerm) {
         peer.mode = SendMode::Snapshot;
         peer.snapshot = m_snapshot;
-        peer.snapshotOffset = 0;
+        peer.snapshotAcked = peer.snapshotSent = 0;
+        peer.newestAckedChunk = 0;
         peer.inflight.clear();
-        sendChunk(id, peer);
+        sendChunks(id, peer);
         return;
     }
     AppendRequest request { peer.nextIndex - 1, *prevLogTerm, m_commitIndex, currentTimestamp(), {} };
@@ -144,13 +148,28 @@
     send(id, AppendRequest { snapshot.index, snapshot.term, m_commitIndex, currentTimestamp(), {} }, false);
 }
 
-void Raft::sendChunk(InstanceId id, Peer& peer)
+// Sends the next chunks until the limit of unanswered data is reached. A copy so takes one round trip for each
+// maxInflightSnapshotBytes, and not one for each chunk.
+void Raft::sendChunks(InstanceId id, Peer& peer)
+{
+    const uint64_t total = peer.snapshot->data.size();
+    auto mayGrow = [&](uint64_t sent) {
+        uint64_t chunk = std::min<uint64_t>(total - sent, m_options.maxMessageBytes);
+        return sent < total && sent + chunk - peer.snapshotAcked <= m_options.maxInflightSnapshotBytes;
+    };
+    while (peer.snapshotSent == peer.snapshotAcked || mayGrow(peer.snapshotSent)) {
+        sendChunk(id, *peer.snapshot, peer.snapshotSent);
+        if (peer.snapshotSent == total) // an empty snapshot, or one whose last answer is awaited
+            return;
+        peer.snapshotSent = std::min<uint64_t>(total, peer.snapshotSent + m_options.maxMessageBytes);
+    }
+}
+
+void Raft::sendChunk(InstanceId id, const LogSnapshot& snapshot, uint64_t offset)
 {
-    const LogSnapshot& snapshot = *peer.snapshot;
     send(id,
-        SnapshotChunk { snapshot.index, snapshot.term, snapshot.configuration, peer.snapshotOffset,
-            snapshot.data.size(), currentTimestamp(),
-            snapshot.data.substr(peer.snapshotOffset, m_options.maxMessageBytes) },
+        SnapshotChunk { snapshot.index, snapshot.term, snapshot.configuration, offset, snapshot.data.size(),
+            currentTimestamp(), snapshot.data.substr(offset, m_options.maxMessageBytes) },
         false);
 }
 
@@ -326,15 +345,14 @@
         send(from, AppendReply { true, m_commitIndex, Term(), 0, chunk.sentAt });
         return;
     }
-    if (!m_incomingSnapshot || m_incomingSnapshot->index != chunk.index || m_incomingSnapshot->term != chunk.term)
-        m_incomingSnapshot = LogSnapshot { chunk.index, chunk.term, std::move(chunk.configuration), {} };
-    if (chunk.offset == m_incomingSnapshot->data.size())
-        m_incomingSnapshot->data += chunk.data;
-    if (m_incomingSnapshot->data.size() < chunk.totalBytes) {
-        send(from, SnapshotReply { chunk.index, m_incomingSnapshot->data.size(), chunk.sentAt });
+    if (!m_incomingSnapshot || !m_incomingSnapshot->includes(chunk))
+        m_incomingSnapshot.emplace(chunk, m_options.maxInflightSnapshotBytes);
+    m_incomingSnapshot->add(chunk);
+    if (!m_incomingSnapshot->isComplete()) {
+        send(from, SnapshotReply { chunk.index, m_incomingSnapshot->receivedBytes(), chunk.sentAt });
         return;
     }
-    LogSnapshot snapshot = std::move(*m_incomingSnapshot);
+    LogSnapshot snapshot = m_incomingSnapshot->take();
     m_incomingSnapshot.reset();
     installSnapshot(std::move(snapshot));
     send(from, AppendReply { true, m_commitIndex, Term(), 0, chunk.sentAt });
@@ -371,11 +389,16 @@
     if (peer.mode != SendMode::Snapshot || reply.index != peer.snapshot->index
         || reply.receivedBytes > peer.snapshot->data.size())
         return;
-    bool advanced = reply.receivedBytes > peer.snapshotOffset;
-    peer.snapshotOffset = reply.receivedBytes; // lower than before if the receiver restarted; the next heartbeat then
-                                               // resumes the transfer
-    if (advanced)
-        sendChunk(from, peer);
+    if (reply.receivedBytes > peer.snapshotAcked) {
+        peer.snapshotAcked = reply.receivedBytes;
+        peer.snapshotSent = std::max(peer.snapshotSent, peer.snapshotAcked);
+        sendChunks(from, peer);
+    } else if (reply.receivedBytes < peer.snapshotAcked && reply.sentAt > peer.newestAckedChunk) {
+        // The receiver has restarted; an answer that was overtaken by others would belong to an earlier chunk. The next
+        // heartbeat resumes the copy.
+        peer.snapshotAcked = peer.snapshotSent = reply.receivedBytes;
+    }
+    peer.newestAckedChunk = std::max(peer.newestAckedChunk, reply.sentAt);
 }
 
 } // namespace cicadaward::raft
--- a/libs/raft/schedule_instance.h
+++ b/libs/raft/schedule_instance.h
@@ -21,6 +21,7 @@
     options.maxProbeBytes = 20; // some proposals are larger
     options.maxMessageEntries = maxMessageEntries;
     options.maxInflightMessages = 3;
+    options.maxInflightSnapshotBytes = 160; // two chunks
     options.maxUncommittedEntries = 12;
     options.retainedEntries = 3;
     options.retainedBytes = 60; // often fewer entries
