Keep the entries that an active follower has not acknowledged

Once that was complete, the next compaction discarded entries that the leader had sent and that were lost on the way.

RaftOptions::retainedBytesForTransfer is now retainedBytesForFollowers.

Its checks are unchanged.

--- a/libs/cluster/group_simulation.cc
+++ b/libs/cluster/group_simulation.cc
@@ -43,7 +43,7 @@
     options.entriesPerSnapshot = 8 + m_random.below(30);
     options.minBytesPerSnapshot = seed % 2 ? smallBytesPerSnapshot : options.minBytesPerSnapshot;
     options.consensus.retainedBytes = seed % 3 ? smallBytesPerSnapshot : options.consensus.retainedBytes;
-    options.consensus.retainedBytesForTransfer = 4 * options.consensus.retainedBytes;
+    options.consensus.retainedBytesForFollowers = 4 * options.consensus.retainedBytes;
     if (hasSmallDisks) {
         options.entriesPerSnapshot = smallEntriesPerSnapshot;
         options.consensus.maxMessageBytes = maxSmallMessageBytes;
--- a/libs/raft/raft.h
+++ b/libs/raft/raft.h
@@ -53,9 +53,9 @@
     // this number, with at most these bytes of data.
     size_t retainedEntries = 256;
     size_t retainedBytes = 4 << 20;
-    // The same while a follower receives an earlier snapshot: it needs the entries after that one, else it would need
-    // another snapshot as soon as it has this one.
-    size_t retainedBytesForTransfer = 16 << 20;
+    // Data of the entries before a snapshot that a leader keeps for active followers that have not acknowledged them,
+    // or that receive an earlier snapshot: without them a follower needs another snapshot.
+    size_t retainedBytesForFollowers = 16 << 20;
     size_t maxDeferredMessages = 1024; // messages that wait for Persisted; further ones are dropped
     size_t maxMembers = 15; // voters and learners in a configuration
     // True: canRead() alone permits a read. A restarted instance then grants no vote for one election timeout, because
--- a/libs/raft/raft_replication.cc
+++ b/libs/raft/raft_replication.cc
@@ -173,14 +173,17 @@
         false);
 }
 
-// The index up to which the log may be compacted after a snapshot.
+// The index up to which the log may be compacted after a snapshot. Entries that an active follower has not acknowledged
+// are kept within a limit, also those that have been sent: they may be lost. A new leader does not know what a follower
+// has before its first answer.
 LogIndex Raft::compactionIndex(LogIndex snapshotIndex) const
 {
     LogIndex index = m_log.indexBefore(snapshotIndex, m_options.retainedEntries, m_options.retainedBytes);
-    LogIndex lowest = m_log.indexBefore(snapshotIndex, SIZE_MAX, m_options.retainedBytesForTransfer);
+    LogIndex lowest = m_log.indexBefore(snapshotIndex, SIZE_MAX, m_options.retainedBytesForFollowers);
     for (const auto& [id, peer] : m_peers) {
-        if (peer.mode == SendMode::Snapshot && isActive(peer))
-            index = std::min(index, std::max(peer.snapshot->index, lowest));
+        LogIndex acknowledged = peer.mode == SendMode::Snapshot ? peer.snapshot->index : peer.matchIndex;
+        if (isActive(peer))
+            index = std::min(index, std::max(acknowledged, lowest));
     }
     return index;
 }
--- a/libs/raft/raft_test.cc
+++ b/libs/raft/raft_test.cc
@@ -160,6 +160,7 @@
 {
     RaftOptions options;
     options.retainedEntries = 0;
+    options.retainedBytesForFollowers = 0; // the follower needs the snapshot
     TestGroup group(3, options);
     InstanceId leader = group.leader()->self();
     InstanceId follower(leader == InstanceId(1) ? 2 : 1);
--- a/libs/raft/schedule_instance.h
+++ b/libs/raft/schedule_instance.h
@@ -25,7 +25,7 @@
     options.maxUncommittedEntries = 12;
     options.retainedEntries = 3;
     options.retainedBytes = 60; // often fewer entries
-    options.retainedBytesForTransfer = 240;
+    options.retainedBytesForFollowers = 240;
     options.maxDeferredMessages = 16;
     return options;
 }
