--- a/libs/steering/agent_offers.cc
+++ b/libs/steering/agent_offers.cc
@@ -160,8 +160,8 @@
     m_admission.onSynForwarded(packet.flow);
     m_outliers.onFlowAccepted();
     frame.shouldCompareLoad = false;
-    forwardToTarget(frame, packet.flow, data, size);
-    flow->synMark = m_lastMark;
+    flow->synMark = recordForwarded(frame, packet.flow);
+    sendToTarget(flow->synMark, data, size);
     m_observer.onDecision(
         Decision::Accepted, packet.flow, { frame.entry, "", m_routes.version(), ownLoad, m_state, frame.state });
 }
@@ -169,14 +169,15 @@
 // The known flow may still be open. The target decides: it answers the SYN if it holds the new flow in its place.
 void AgentSteering::offerBeside(TargetFlow& known, Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
 {
-    m_admission.onSynForwarded(packet.flow);
-    frame.shouldCompareLoad = false;
-    forwardToTarget(frame, packet.flow, data, size);
     known.noteOther(packet);
+    if (!known.isOtherPending) // otherwise a copy: it was counted
+        m_admission.onSynForwarded(packet.flow);
     known.isOtherPending = true;
-    known.otherSynMark = m_lastMark;
+    frame.shouldCompareLoad = false;
+    known.otherSynMark = recordForwarded(frame, packet.flow);
     known.otherForwarded = m_clock.now();
     known.entryToNotify = frame.entry;
+    sendToTarget(known.otherSynMark, data, size);
     m_observer.onDecision(Decision::Accepted, packet.flow,
         { frame.entry, "beside a known flow", m_routes.version(), load(), m_state, frame.state });
 }
--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -126,6 +126,10 @@
     void forwardQueuedRequests();
     void passOn(Frame&, const FlowPacket&, const char* reason, const uint8_t* data, size_t size);
     void forwardToTarget(const Frame&, const FlowId&, uint8_t* data, size_t size);
+    // The first step of forwardToTarget(): returns the mark of the packet, whose frame is kept in case it is bounced.
+    uint32_t recordForwarded(const Frame&, const FlowId&);
+    // The second step. The target may answer before this returns, and the flow may be erased then.
+    void sendToTarget(uint32_t mark, uint8_t* data, size_t size);
     void forwardToTarget(QueuedRequest&);
     void onCallerClosed(TargetFlow&, const FlowPacket&);
     void onTargetClosed(const FlowPacket&, TargetFlow&);
--- a/libs/steering/agent_target.cc
+++ b/libs/steering/agent_target.cc
@@ -31,6 +31,11 @@
 }
 
 void AgentSteering::forwardToTarget(const Frame& frame, const FlowId& flow, uint8_t* data, size_t size)
+{
+    sendToTarget(recordForwarded(frame, flow), data, size);
+}
+
+uint32_t AgentSteering::recordForwarded(const Frame& frame, const FlowId& flow)
 {
     uint32_t mark = ++m_lastMark;
     if (mark == 0) // 0 means that the packet has no mark
@@ -39,6 +44,11 @@
     forwarded.mark = mark;
     forwarded.flow = flow;
     forwarded.frame = frame;
+    return mark;
+}
+
+void AgentSteering::sendToTarget(uint32_t mark, uint8_t* data, size_t size)
+{
     m_format.prepareForTarget(data, mark);
     m_output.sendToTarget(data, size);
 }
