Let only the target tell which flow it holds after a restart of its agent

What callers saw: an open flow was denied by its own agent and reset, after the agent had restarted and a late packet of an earlier flow between the same ends came first (found by the schedules of ports used again).

Cause: a packet that is tried at the target set the window of the flow, though the target had not said that it holds it.

Change: without the caller's initial number the window follows the target's acknowledgements only.

Result: "a packet that was tried does not say which flow the target holds" fails without the change and passes.

--- a/libs/steering/port_reuse_test.cc
+++ b/libs/steering/port_reuse_test.cc
@@ -21,18 +21,8 @@
 constexpr Check allChecks[] { Check::NewerRoutes, Check::OtherService, Check::Draining, Check::Evacuated, Check::WarmUp,
     Check::FlowLimit, Check::Unregistered };
 
-// An agent that knows all flows of its target, which holds an open flow of the caller with the number firstIsn.
-struct PortReuseFixture : AgentFixture {
-    PortReuseFixture()
-    {
-        heartbeatSequence = 0;
-        setState(StateIndex(4), { { hub, 1 } });
-        sendHeartbeat();
-        offerWith(firstIsn);
-        answerSyn(firstIsn, firstTargetIsn);
-        deliver(callerPacket(firstIsn, requestBytes));
-        receiveFromTarget(targetPacket(firstTargetIsn, requestBytes));
-    }
+// An agent, an entry that offers it flows between the same ends, and its target.
+struct PortFixture : AgentFixture {
     void setState(StateIndex index, std::vector<WeightedService> services, std::set<std::string> evacuated = {})
     {
         Configuration configuration = makeConfiguration(
@@ -146,6 +136,29 @@
     uint32_t maxFlows = 0;
 };
 
+// The agent knows all flows of its target, which holds an open flow of the caller with the number firstIsn.
+struct PortReuseFixture : PortFixture {
+    PortReuseFixture()
+    {
+        heartbeatSequence = 0;
+        setState(StateIndex(4), { { hub, 1 } });
+        sendHeartbeat();
+        offerWith(firstIsn);
+        answerSyn(firstIsn, firstTargetIsn);
+        deliver(callerPacket(firstIsn, requestBytes));
+        receiveFromTarget(targetPacket(firstTargetIsn, requestBytes));
+    }
+};
+
+// The agent has started after its target, which holds the same flow; the table lacks it.
+struct LateAgentFixture : PortFixture {
+    LateAgentFixture()
+    {
+        setState(StateIndex(4), { { hub, 1 } });
+        sendHeartbeat();
+    }
+};
+
 // Initial numbers of the later flow: far from the first one, and so near that their windows overlap.
 const auto laterIsns = { 0x9000'0000U, firstIsn + 5000 };
 
@@ -253,3 +266,15 @@
     CHECK(fixture.isOffered(firstIsn, 1)); // a copy of the SYN of an open flow
     CHECK(fixture.isDelivered(firstIsn));
 }
+
+// Guards against a flow that is denied because a late packet of an earlier one came first after a restart of its agent.
+TEST_CASE("ports used again: a packet that was tried does not say which flow the target holds", "[ports]")
+{
+    LateAgentFixture fixture;
+    fixture.deliver(fixture.callerPacket(earlierIsn - (1 << 20), requestBytes));
+    CHECK(fixture.output.toTarget.size() == 1);
+    CHECK(fixture.isDelivered(firstIsn));
+    fixture.receiveFromTarget(fixture.targetPacket(firstTargetIsn, requestBytes));
+    CHECK(fixture.isDelivered(firstIsn));
+    CHECK(!fixture.isDelivered(earlierIsn - (1 << 20)));
+}
--- a/libs/steering/target_flows.cc
+++ b/libs/steering/target_flows.cc
@@ -12,6 +12,7 @@
 
     // Compares sequence numbers modulo 2^32.
     bool isAfter(uint32_t a, uint32_t b) { return static_cast<int32_t>(a - b) > 0; }
+    bool isNear(uint32_t a, uint32_t b) { return a - b + callerWindowBytes < 2 * callerWindowBytes; }
 
 } // namespace
 
@@ -38,8 +39,9 @@
 // otherIsn.
 bool TargetFlow::isOwn(const FlowPacket& packet) const
 {
+    // Without the initial number only the target tells which flow it holds: packets that were tried prove nothing.
     if (!hasCallerIsn)
-        return !hasRequestEnd || packet.sequence - requestEnd + callerWindowBytes < 2 * callerWindowBytes;
+        return !hasTargetAck || isNear(packet.sequence, targetAck);
     uint32_t offset = packet.sequence - callerIsn;
     if (hasOtherIsn && packet.sequence - otherIsn < offset)
         return false;
@@ -80,7 +82,14 @@
 
 void TargetFlow::recordTargetAck(const FlowPacket& packet)
 {
-    if (!packet.ack || (hasRequestEnd && !isAfter(packet.acknowledged, requestEnd)))
+    if (!packet.ack)
+        return;
+    bool isNewest = !hasTargetAck || packet.syn || isAfter(packet.acknowledged, targetAck);
+    hasTargetAck = true;
+    targetAck = isNewest ? packet.acknowledged : targetAck;
+    // A late packet of an earlier flow may have set requestEnd.
+    bool isRequestOwn = hasRequestEnd && isNear(requestEnd, packet.acknowledged);
+    if (isRequestOwn && !isAfter(packet.acknowledged, requestEnd))
         return;
     requestEnd = packet.acknowledged;
     hasRequestEnd = true;
--- a/libs/steering/target_flows.h
+++ b/libs/steering/target_flows.h
@@ -52,6 +52,8 @@
     uint32_t targetIsn = 0; // initial sequence number of the target, from its SYN-ACK
     uint32_t answerEnd
         = 0; // sequence number after the newest data of the target; valid when established or mayHaveEnded
+    bool hasTargetAck = false; // targetAck is known
+    uint32_t targetAck = 0; // newest acknowledgement of the target
     uint32_t requestEnd = 0; // sequence number after the newest caller data that was seen or acknowledged
     Time requestForwarded; // time at which the newest request was forwarded
 
