Check each copy of a SYN beside a known flow

What callers saw: a new flow opened at a target whose agent knew meanwhile that it must not take it, when the target answered a copy of a SYN and not the first one (found by the schedules of ports used again).

Cause: the copy of a SYN on which the target had not decided passed over the checks.

Result: "each copy of a SYN beside a known flow passes the checks" fails without the change and passes.

--- a/libs/steering/agent_offers.cc
+++ b/libs/steering/agent_offers.cc
@@ -63,9 +63,8 @@
     if (known.hasCallerIsn && !known.isOpenedBy(packet))
         known.noteOther(packet);
     bool isOpened = known.synForwarded && known.isOpenedBy(packet);
-    bool isPending = known.isOtherPending && packet.sequence == known.otherIsn;
     bool hasTarget = m_registration.state() != TargetState::Departed && !m_registration.isContested();
-    if (!(isOpened || isPending) || known.targetEnded || !hasTarget)
+    if (!isOpened || known.targetEnded || !hasTarget)
         return false;
     known.entryToNotify = frame.entry;
     forwardToTarget(frame, packet.flow, data, size);
@@ -166,7 +165,8 @@
         Decision::Accepted, packet.flow, { frame.entry, "", m_routes.version(), ownLoad, m_state, frame.state });
 }
 
-// The known flow may still be open. The target decides: it answers the SYN if it holds the new flow in its place.
+// The known flow may still be open. The target decides: it answers the SYN if it holds the new flow in its place. Until
+// it does, each copy of the SYN passes the checks again.
 void AgentSteering::offerBeside(TargetFlow& known, Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
 {
     known.noteOther(packet);
--- a/libs/steering/port_reuse_test.cc
+++ b/libs/steering/port_reuse_test.cc
@@ -278,3 +278,13 @@
     CHECK(fixture.isDelivered(firstIsn));
     CHECK(!fixture.isDelivered(earlierIsn - (1 << 20)));
 }
+
+// Guards against a new flow that opens by a copy of its SYN although the state has changed since the first one.
+TEST_CASE("ports used again: each copy of a SYN beside a known flow passes the checks", "[ports]")
+{
+    PortReuseFixture fixture;
+    CHECK(fixture.isOffered(laterIsns.begin()[0]));
+    fixture.refuseBy(GENERATE(Check::NewerRoutes, Check::Draining, Check::Evacuated));
+    CHECK(!fixture.isOffered(laterIsns.begin()[0], 1));
+    CHECK(fixture.isDelivered(firstIsn));
+}
