Count denials only of the flow that is searched for

What callers saw: an entry reset an open flow after a late packet of an earlier flow between the same ends (found by the schedules of ports used again).

Cause: the entry collected the denials of all packets between two ends in one search. A denial of the late packet stood for one of the open flow.

Change: a search belongs to the sequence number of its first packet. A packet that is not near starts it anew; a denial of one does not count.

Result: "denials of another flow's packet between the same ends do not count" fails without the change and passes.

--- a/libs/steering/entry_steering.cc
+++ b/libs/steering/entry_steering.cc
@@ -18,7 +18,11 @@
     // A denied flow is dropped from the list when the members are not confirmed within this time. The caller's
     // retransmission starts a new search.
     constexpr Duration confirmationTimeout = std::chrono::seconds(1);
-    constexpr uint32_t resetWindowBytes = 1 << 16; // more than a caller sends without an acknowledgement
+    constexpr uint32_t callerWindowBytes = 1 << 16; // more than a caller sends without an acknowledgement
+
+    // True when both sequence numbers can be of packets that a caller sends at about the same time.
+    bool isNear(uint32_t a, uint32_t b) { return a - b + callerWindowBytes < 2 * callerWindowBytes; }
+
     constexpr Duration expiryInterval = std::chrono::seconds(1);
     constexpr Duration defaultIdleLimit = std::chrono::seconds(15);
 
@@ -150,7 +154,7 @@
         m_searches.cancel(packet.flow);
     }
     if (cachedFlow->agent.port == 0 || isRetransmission || m_searches.hasSearch(packet.flow)) {
-        search(packet, cachedFlow->agent, data, size);
+        search(packet, *cachedFlow, data, size);
         return;
     }
     Frame frame;
@@ -173,24 +177,28 @@
 
 bool EntrySteering::CachedFlow::isEnd(const FlowPacket& packet) const
 {
-    bool isNearData = packet.sequence - lastDataSequence + resetWindowBytes < 2 * resetWindowBytes;
-    return packet.fin || (packet.reset && (!hasData || isNearData));
+    return packet.fin || (packet.reset && (!hasData || isNear(packet.sequence, lastDataSequence)));
 }
 
-void EntrySteering::search(const FlowPacket& packet, Endpoint lastKnownAgent, const uint8_t* data, size_t size)
+// What members say about a packet of another flow between the same ends does not apply to this one.
+void EntrySteering::search(const FlowPacket& packet, CachedFlow& cachedFlow, const uint8_t* data, size_t size)
 {
     const Route* route = m_routes.find(packet.flow.service);
     if (!route) {
         m_observer.onDecision(Decision::NoRoute, packet.flow, { {}, "no route for the address", m_routes.version() });
         return;
     }
+    if (m_searches.hasSearch(packet.flow) && !isNear(packet.sequence, cachedFlow.searchSequence))
+        m_searches.cancel(packet.flow);
     bool isNew = !m_searches.hasSearch(packet.flow);
-    SearchStep step = m_searches.nextStep(packet.flow, *route, lastKnownAgent);
+    if (isNew)
+        cachedFlow.searchSequence = packet.sequence;
+    SearchStep step = m_searches.nextStep(packet.flow, *route, cachedFlow.agent);
     if (isNew && m_unansweredPackets.size() < m_options.search.maxUnansweredPackets)
         m_unansweredPackets.push_back({ packet.flow, m_clock.now(), { data, data + size } });
     if (step.isEmpty())
         m_observer.onDecision(
-            Decision::NotHeld, packet.flow, { lastKnownAgent, "no member to ask", m_routes.version() });
+            Decision::NotHeld, packet.flow, { cachedFlow.agent, "no member to ask", m_routes.version() });
     send(step, packet, data, size);
 }
 
@@ -274,6 +282,13 @@
     const Route* route = m_routes.find(packet->flow.service);
     if (found == m_flows.end() || !route)
         return;
+    if (!m_searches.hasSearch(packet->flow))
+        found->second.searchSequence = packet->sequence;
+    if (!isNear(packet->sequence, found->second.searchSequence)) {
+        const char* reason = "of another flow between its ends";
+        m_observer.onDecision(Decision::NotHeld, packet->flow, { sender, reason, m_routes.version() });
+        return;
+    }
     bool hasLocatedDenied = !frame.members.empty() && found->second.agent == frame.members[0];
     if (found->second.agent == sender || hasLocatedDenied)
         found->second.agent = {};
--- a/libs/steering/entry_steering.h
+++ b/libs/steering/entry_steering.h
@@ -90,6 +90,7 @@
         bool hasCallerIsn = false; // callerIsn is known
         uint32_t callerIsn = 0; // of the newest SYN
         uint32_t lastDataSequence = 0; // of the caller's newest data; valid when hasData
+        uint32_t searchSequence = 0; // of the packet that started the search; valid while there is one
         bool hasData = false;
         bool isAwaitingConfirmation = false; // listed in m_deniedFlows
         bool isClosing = false;
@@ -130,7 +131,7 @@
     void onSyn(const FlowPacket&, const uint8_t* data, size_t size);
     void offer(const FlowPacket&, Time arrived, const uint8_t* data, size_t size);
     void onNonSyn(const FlowPacket&, const uint8_t* data, size_t size);
-    void search(const FlowPacket&, Endpoint lastKnownAgent, const uint8_t* data, size_t size);
+    void search(const FlowPacket&, CachedFlow&, const uint8_t* data, size_t size);
     void send(const SearchStep&, const FlowPacket&, const uint8_t* data, size_t size);
     void sendProbe(
         Endpoint agent, FrameKind, const std::vector<Endpoint>& members, bool mayTry, const uint8_t* data, size_t size);
--- a/libs/steering/entry_steering_test.cc
+++ b/libs/steering/entry_steering_test.cc
@@ -179,6 +179,36 @@
     CHECK(fixture.output.toCaller.empty());
 }
 
+// Guards against a reset of an open flow because members deny a late packet of an earlier flow between the same ends.
+TEST_CASE("entry: denials of another flow's packet between the same ends do not count", "[entry][ports]")
+{
+    EntryFixture fixture;
+    FlowPacket late = dataPacket(testFlow(1));
+    late.sequence = 0x1000'0000;
+    FlowPacket current = late;
+    current.sequence = 0x9000'0000;
+    fixture.located(testMember(1).agent, testFlow(1));
+    SECTION("the other packet came first")
+    {
+        fixture.packet(late);
+        fixture.returned(testMember(1).agent, fixture.lastFrame(), late);
+        fixture.packet(current);
+        CHECK(fixture.lastFrame().members.size() == 4); // all are asked about this flow
+    }
+    SECTION("the other packet came during the search")
+    {
+        fixture.packet(current);
+        fixture.packet(current); // retransmitted
+        Frame search = fixture.lastFrame();
+        Frame denial = search;
+        denial.members = { testMember(1).agent };
+        fixture.returned(testMember(1).agent, denial, late);
+        search.members = { testMember(2).agent, testMember(3).agent, testMember(4).agent };
+        fixture.returned(testMember(4).agent, search, current);
+        CHECK(fixture.output.confirmationRequests == 0);
+    }
+}
+
 TEST_CASE("entry: a departed member is not asked, and its flows are searched for at the others", "[entry]")
 {
     EntryFixture fixture;
