Keep a flow when the target bounces a packet of another one

What callers saw: an agent forgot an open flow, which the entries then reset, because the target returned a packet of an earlier flow between the same ends late, after the agent had restarted (found by the schedules of ports used again).

Cause: the mark of a packet does not tell its age when an earlier process of the agent gave it.

Change: a bounced packet that is not of the known flow says nothing about it, and is passed on.

Result: "a bounced packet of an earlier flow ends no open one" fails without the change and passes.

--- a/libs/steering/agent_target.cc
+++ b/libs/steering/agent_target.cc
@@ -183,6 +183,10 @@
         passOnBounced(packet, data, size);
         return;
     }
+    if (flow && flow->isOther(packet)) { // it says nothing about the known flow
+        passOnBounced(packet, data, size);
+        return;
+    }
     if (flow && isHeldDespiteBounce(*flow, packet)) {
         m_observer.onDecision(Decision::NotHeld, packet.flow, { {}, "bounced, but its flow is held" });
         return;
--- a/libs/steering/port_reuse_test.cc
+++ b/libs/steering/port_reuse_test.cc
@@ -279,6 +279,21 @@
     CHECK(!fixture.isDelivered(earlierIsn - (1 << 20)));
 }
 
+// Guards against an open flow that its agent forgets because the target returns a packet of an earlier one late.
+TEST_CASE("ports used again: a bounced packet of an earlier flow ends no open one", "[ports]")
+{
+    PortReuseFixture fixture;
+    FlowPacket bounced;
+    std::memcpy(&bounced, fixture.output.toTarget.back().bytes.data(), sizeof(bounced));
+    uint32_t mark = bounced.mark + 1000; // of an earlier process of the agent
+    bounced = fixture.callerPacket(0x9000'0000, 0);
+    bounced.bounced = true;
+    bounced.mark = mark;
+    fixture.receiveFromTarget(bounced);
+    CHECK(fixture.agent.flowCount() == 1);
+    CHECK(fixture.isDelivered(firstIsn));
+}
+
 // Guards against a new flow that opens by a copy of its SYN although the state has changed since the first one.
 TEST_CASE("ports used again: each copy of a SYN beside a known flow passes the checks", "[ports]")
 {
--- a/libs/steering/target_flows.cc
+++ b/libs/steering/target_flows.cc
@@ -49,6 +49,11 @@
     return offset < sentBytes + callerWindowBytes;
 }
 
+bool TargetFlow::isOther(const FlowPacket& packet) const
+{
+    return packet.syn ? hasCallerIsn && packet.sequence != callerIsn : !isOwn(packet);
+}
+
 bool TargetFlow::isOfPrevious(const FlowPacket& packet) const
 {
     return hasPreviousIsn && packet.sequence - previousIsn < callerWindowBytes;
--- a/libs/steering/target_flows.h
+++ b/libs/steering/target_flows.h
@@ -70,6 +70,8 @@
     bool isReplacedBy(const FlowPacket& synAck) const;
     // False when the caller's packet is certainly not one of this flow, but of another one between the same ends.
     bool isOwn(const FlowPacket&) const;
+    // True when the caller's packet or SYN is certainly not one of this flow.
+    bool isOther(const FlowPacket&) const;
     // True when the caller's packet is a late one of the flow that this one replaced.
     bool isOfPrevious(const FlowPacket&) const;
     // Updates requestEnd from a packet with data of the caller. Returns false for repeated data.
