Take a late packet of the target for what it answers

Cause: when the agent had replaced a flow, any packet of the target counted as the answer to the new SYN and located the new flow at this agent.

Result: "a late packet of the target on the earlier flow does not answer the new one" fails without the change and passes.

--- a/libs/steering/agent_target.cc
+++ b/libs/steering/agent_target.cc
@@ -71,6 +71,8 @@
         m_admission.onFlowAnswered(packet->flow);
     if (flow && flow->isReplacedBy(*packet))
         flow = replaceByOther(packet->flow, *flow);
+    if (flow && flow->isAnswerToPrevious(*packet))
+        return;
     if (!flow && !packet->reset)
         flow = m_flows.add(packet->flow, m_clock.now());
     if (!flow) {
--- a/libs/steering/port_reuse_test.cc
+++ b/libs/steering/port_reuse_test.cc
@@ -303,3 +303,14 @@
     CHECK(!fixture.isOffered(laterIsns.begin()[0], 1));
     CHECK(fixture.isDelivered(firstIsn));
 }
+
+// Guards against a new flow that counts as answered, and is located here, by a late packet of the earlier one.
+TEST_CASE("ports used again: a late packet of the target on the earlier flow does not answer the new one", "[ports]")
+{
+    PortReuseFixture fixture;
+    fixture.end(Ending::CallerReset);
+    CHECK(fixture.isOffered(laterIsns.begin()[0]));
+    size_t frames = fixture.output.frames.size();
+    fixture.receiveFromTarget(fixture.targetPacket(firstTargetIsn, requestBytes));
+    CHECK(fixture.output.frames.size() == frames);
+}
--- a/libs/steering/target_flows.cc
+++ b/libs/steering/target_flows.cc
@@ -54,6 +54,12 @@
     return packet.syn ? hasCallerIsn && packet.sequence != callerIsn : !isOwn(packet);
 }
 
+bool TargetFlow::isAnswerToPrevious(const FlowPacket& packet) const
+{
+    return !packet.syn && packet.ack && hasPreviousIsn && !isNear(packet.acknowledged, callerIsn)
+        && packet.acknowledged - previousIsn < callerWindowBytes;
+}
+
 bool TargetFlow::isOfPrevious(const FlowPacket& packet) const
 {
     return hasPreviousIsn && packet.sequence - previousIsn < callerWindowBytes;
--- a/libs/steering/target_flows.h
+++ b/libs/steering/target_flows.h
@@ -72,6 +72,8 @@
     bool isOwn(const FlowPacket&) const;
     // True when the caller's packet or SYN is certainly not one of this flow.
     bool isOther(const FlowPacket&) const;
+    // True when the target's packet is a late one of the flow that this one replaced.
+    bool isAnswerToPrevious(const FlowPacket&) const;
     // True when the caller's packet is a late one of the flow that this one replaced.
     bool isOfPrevious(const FlowPacket&) const;
     // Updates requestEnd from a packet with data of the caller. Returns false for repeated data.
