Find a flow behind a SYN that its target has not answered

What callers saw: an open flow was reset after its agent had restarted and a late copy of an earlier SYN came before the flow's packets (found by the schedules of ports used again).

Cause: the SYN made an entry in the empty table, so the packets of the flow that the target holds were denied as those of another one.

Change: until the target answers the SYN, an agent that may lack flows gives it the packets of other flows as it does with unknown ones. When the target's packets belong to another flow, the entry of the SYN gives way.

Result: "a SYN that the target does not answer hides no flow from before the agent" fails without the change and passes.

--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -278,20 +278,30 @@
 // The packet is of a later flow, which another target may hold, or a late one of an earlier flow. The target must not
 // get it, because that would look like a packet of the known flow.
 void AgentSteering::onOtherFlow(
-    const TargetFlow& known, Frame& frame, const FlowPacket& packet, const uint8_t* data, size_t size)
+    const TargetFlow& known, Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
 {
+    // A process that has started after its target knows nothing of an earlier flow of which the target gives no sign.
+    if (!known.answered && !isKnownAbsent() && !known.isOfPrevious(packet)) {
+        onUnknownFlow(frame, packet, data, size);
+        return;
+    }
     const char* reason = "of another flow between its ends";
     m_observer.onDecision(Decision::NotHeld, packet.flow, { frame.entry, reason, m_routes.version() });
     if (!known.isOfPrevious(packet))
         passOn(frame, packet, reason, data, size);
 }
 
+// True when the target holds no flow that is not in the table.
+bool AgentSteering::isKnownAbsent() const
+{
+    return (m_registration.hasSeenStart() && !m_hasUntrackedFlows) || m_registration.state() == TargetState::Departed;
+}
+
 void AgentSteering::onUnknownFlow(Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
 {
-    bool isKnownAbsent
-        = (m_registration.hasSeenStart() && !m_hasUntrackedFlows) || m_registration.state() == TargetState::Departed;
-    if (isKnownAbsent || !canTargetHold(packet.flow)) {
-        frame.isUncertain = frame.isUncertain || !isKnownAbsent; // the routes of this agent may be older than the flow
+    if (isKnownAbsent() || !canTargetHold(packet.flow)) {
+        // The routes of this agent may be older than the flow.
+        frame.isUncertain = frame.isUncertain || !isKnownAbsent();
         passOn(frame, packet, "not held", data, size);
         return;
     }
@@ -301,8 +311,9 @@
         passOn(frame, packet, "not tried", data, size);
         return;
     }
-    TargetFlow* flow = m_flows.add(packet.flow, m_clock.now());
-    m_hasUntrackedFlows = m_hasUntrackedFlows || !flow;
+    bool isOther = m_flows.find(packet.flow) != nullptr; // only the target tells whether it holds this one instead
+    TargetFlow* flow = isOther ? nullptr : m_flows.add(packet.flow, m_clock.now());
+    m_hasUntrackedFlows = m_hasUntrackedFlows || (!flow && !isOther);
     if (flow) {
         flow->entryToNotify = frame.entry;
         if (packet.length > 0)
--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -119,7 +119,8 @@
     bool isLastResort(const Frame&) const;
     void passOnEjected(Frame&, const FlowPacket&, const uint8_t* data, size_t size);
     void onDelivery(Frame&, const FlowPacket&, uint8_t* data, size_t size);
-    void onOtherFlow(const TargetFlow& known, Frame&, const FlowPacket&, const uint8_t* data, size_t size);
+    void onOtherFlow(const TargetFlow& known, Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    bool isKnownAbsent() const;
     void onUnknownFlow(Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void fanOut(const Frame&, const uint8_t* data, size_t size);
     void onKnownFlow(TargetFlow&, Frame&, const FlowPacket&, uint8_t* data, size_t size);
--- a/libs/steering/agent_target.cc
+++ b/libs/steering/agent_target.cc
@@ -73,6 +73,10 @@
         flow = replaceByOther(packet->flow, *flow);
     if (flow && flow->isAnswerToPrevious(*packet))
         return;
+    if (flow && flow->isContradictedBy(*packet)) {
+        eraseFlow(packet->flow);
+        flow = nullptr;
+    }
     if (!flow && !packet->reset)
         flow = m_flows.add(packet->flow, m_clock.now());
     if (!flow) {
--- a/libs/steering/port_reuse_test.cc
+++ b/libs/steering/port_reuse_test.cc
@@ -279,6 +279,18 @@
     CHECK(!fixture.isDelivered(earlierIsn - (1 << 20)));
 }
 
+// Guards against an open flow that is denied because its agent, after a restart, has given the target a late SYN.
+TEST_CASE("ports used again: a SYN that the target does not answer hides no flow from before the agent", "[ports]")
+{
+    LateAgentFixture fixture;
+    uint32_t lateIsn = 0x9000'0000;
+    CHECK(fixture.isOffered(lateIsn, 2));
+    CHECK(fixture.isDelivered(firstIsn));
+    fixture.receiveFromTarget(fixture.targetPacket(firstTargetIsn, requestBytes));
+    CHECK(fixture.isDelivered(firstIsn));
+    CHECK(!fixture.isDelivered(lateIsn));
+}
+
 // Guards against an open flow that its agent forgets because the target returns a packet of an earlier one late.
 TEST_CASE("ports used again: a bounced packet of an earlier flow ends no open one", "[ports]")
 {
--- a/libs/steering/target_flows.cc
+++ b/libs/steering/target_flows.cc
@@ -60,6 +60,11 @@
         && packet.acknowledged - previousIsn < callerWindowBytes;
 }
 
+bool TargetFlow::isContradictedBy(const FlowPacket& packet) const
+{
+    return hasCallerIsn && !answered && packet.ack && !packet.reset && !isNear(packet.acknowledged, callerIsn);
+}
+
 bool TargetFlow::isOfPrevious(const FlowPacket& packet) const
 {
     return hasPreviousIsn && packet.sequence - previousIsn < callerWindowBytes;
--- a/libs/steering/target_flows.h
+++ b/libs/steering/target_flows.h
@@ -74,6 +74,9 @@
     bool isOther(const FlowPacket&) const;
     // True when the target's packet is a late one of the flow that this one replaced.
     bool isAnswerToPrevious(const FlowPacket&) const;
+    // True when the target's packet shows that the target, which has not answered this flow's SYN, holds another flow
+    // between the same ends.
+    bool isContradictedBy(const FlowPacket&) const;
     // True when the caller's packet is a late one of the flow that this one replaced.
     bool isOfPrevious(const FlowPacket&) const;
     // Updates requestEnd from a packet with data of the caller. Returns false for repeated data.
