--- a/libs/steering/agent_steering.h
+++ b/libs/steering/agent_steering.h
@@ -119,13 +119,18 @@
     bool isLastResort(const Frame&) const;
     void passOnEjected(Frame&, const FlowPacket&, const uint8_t* data, size_t size);
     void onDelivery(Frame&, const FlowPacket&, uint8_t* data, size_t size);
-    void onOtherFlow(const TargetFlow& known, Frame&, const FlowPacket&, const uint8_t* data, size_t size);
+    void onOtherFlow(const TargetFlow& known, Frame&, const FlowPacket&, uint8_t* data, size_t size);
+    bool isKnownAbsent() const;
     void onUnknownFlow(Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void fanOut(const Frame&, const uint8_t* data, size_t size);
     void onKnownFlow(TargetFlow&, Frame&, const FlowPacket&, uint8_t* data, size_t size);
     void forwardQueuedRequests();
     void passOn(Frame&, const FlowPacket&, const char* reason, const uint8_t* data, size_t size);
     void forwardToTarget(const Frame&, const FlowId&, uint8_t* data, size_t size);
+    // The first step of forwardToTarget(): returns the mark of the packet, whose frame is kept in case it is bounced.
+    uint32_t recordForwarded(const Frame&, const FlowId&);
+    // The second step. The target may answer before this returns, and the flow may be erased then.
+    void sendToTarget(uint32_t mark, uint8_t* data, size_t size);
     void forwardToTarget(QueuedRequest&);
     void onCallerClosed(TargetFlow&, const FlowPacket&);
     void onTargetClosed(const FlowPacket&, TargetFlow&);
--- a/libs/steering/agent_target.cc
+++ b/libs/steering/agent_target.cc
@@ -31,6 +31,11 @@
 }
 
 void AgentSteering::forwardToTarget(const Frame& frame, const FlowId& flow, uint8_t* data, size_t size)
+{
+    sendToTarget(recordForwarded(frame, flow), data, size);
+}
+
+uint32_t AgentSteering::recordForwarded(const Frame& frame, const FlowId& flow)
 {
     uint32_t mark = ++m_lastMark;
     if (mark == 0) // 0 means that the packet has no mark
@@ -39,6 +44,11 @@
     forwarded.mark = mark;
     forwarded.flow = flow;
     forwarded.frame = frame;
+    return mark;
+}
+
+void AgentSteering::sendToTarget(uint32_t mark, uint8_t* data, size_t size)
+{
     m_format.prepareForTarget(data, mark);
     m_output.sendToTarget(data, size);
 }
@@ -61,6 +71,12 @@
         m_admission.onFlowAnswered(packet->flow);
     if (flow && flow->isReplacedBy(*packet))
         flow = replaceByOther(packet->flow, *flow);
+    if (flow && flow->isAnswerToPrevious(*packet))
+        return;
+    if (flow && flow->isContradictedBy(*packet)) {
+        eraseFlow(packet->flow);
+        flow = nullptr;
+    }
     if (!flow && !packet->reset)
         flow = m_flows.add(packet->flow, m_clock.now());
     if (!flow) {
@@ -173,6 +189,10 @@
         passOnBounced(packet, data, size);
         return;
     }
+    if (flow && flow->isOther(packet)) { // it says nothing about the known flow
+        passOnBounced(packet, data, size);
+        return;
+    }
     if (flow && isHeldDespiteBounce(*flow, packet)) {
         m_observer.onDecision(Decision::NotHeld, packet.flow, { {}, "bounced, but its flow is held" });
         return;
--- a/libs/steering/port_reuse_test.cc
+++ b/libs/steering/port_reuse_test.cc
@@ -21,18 +21,8 @@
 constexpr Check allChecks[] { Check::NewerRoutes, Check::OtherService, Check::Draining, Check::Evacuated, Check::WarmUp,
     Check::FlowLimit, Check::Unregistered };
 
-// An agent that knows all flows of its target, which holds an open flow of the caller with the number firstIsn.
-struct PortReuseFixture : AgentFixture {
-    PortReuseFixture()
-    {
-        heartbeatSequence = 0;
-        setState(StateIndex(4), { { hub, 1 } });
-        sendHeartbeat();
-        offerWith(firstIsn);
-        answerSyn(firstIsn, firstTargetIsn);
-        deliver(callerPacket(firstIsn, requestBytes));
-        receiveFromTarget(targetPacket(firstTargetIsn, requestBytes));
-    }
+// An agent, an entry that offers it flows between the same ends, and its target.
+struct PortFixture : AgentFixture {
     void setState(StateIndex index, std::vector<WeightedService> services, std::set<std::string> evacuated = {})
     {
         Configuration configuration = makeConfiguration(
@@ -146,6 +136,29 @@
     uint32_t maxFlows = 0;
 };
 
+// The agent knows all flows of its target, which holds an open flow of the caller with the number firstIsn.
+struct PortReuseFixture : PortFixture {
+    PortReuseFixture()
+    {
+        heartbeatSequence = 0;
+        setState(StateIndex(4), { { hub, 1 } });
+        sendHeartbeat();
+        offerWith(firstIsn);
+        answerSyn(firstIsn, firstTargetIsn);
+        deliver(callerPacket(firstIsn, requestBytes));
+        receiveFromTarget(targetPacket(firstTargetIsn, requestBytes));
+    }
+};
+
+// The agent has started after its target, which holds the same flow; the table lacks it.
+struct LateAgentFixture : PortFixture {
+    LateAgentFixture()
+    {
+        setState(StateIndex(4), { { hub, 1 } });
+        sendHeartbeat();
+    }
+};
+
 // Initial numbers of the later flow: far from the first one, and so near that their windows overlap.
 const auto laterIsns = { 0x9000'0000U, firstIsn + 5000 };
 
@@ -254,6 +267,78 @@
     CHECK(fixture.isDelivered(firstIsn));
 }
 
+// Guards against a flow that is denied because a late packet of an earlier one came first after a restart of its agent.
+TEST_CASE("ports used again: a packet that was tried does not say which flow the target holds", "[ports]")
+{
+    LateAgentFixture fixture;
+    fixture.deliver(fixture.callerPacket(earlierIsn - (1 << 20), requestBytes));
+    CHECK(fixture.output.toTarget.size() == 1);
+    CHECK(fixture.isDelivered(firstIsn));
+    fixture.receiveFromTarget(fixture.targetPacket(firstTargetIsn, requestBytes));
+    CHECK(fixture.isDelivered(firstIsn));
+    CHECK(!fixture.isDelivered(earlierIsn - (1 << 20)));
+}
+
+// Guards against an open flow that is denied because its agent, after a restart, has given the target a late SYN.
+TEST_CASE("ports used again: a SYN that the target does not answer hides no flow from before the agent", "[ports]")
+{
+    LateAgentFixture fixture;
+    uint32_t lateIsn = 0x9000'0000;
+    CHECK(fixture.isOffered(lateIsn, 2));
+    CHECK(fixture.isDelivered(firstIsn));
+    fixture.receiveFromTarget(fixture.targetPacket(firstTargetIsn, requestBytes));
+    CHECK(fixture.isDelivered(firstIsn));
+    CHECK(!fixture.isDelivered(lateIsn));
+}
+
+// Guards against an open flow that its agent forgets because the target returns a packet of an earlier one late.
+TEST_CASE("ports used again: a bounced packet of an earlier flow ends no open one", "[ports]")
+{
+    PortReuseFixture fixture;
+    FlowPacket bounced;
+    std::memcpy(&bounced, fixture.output.toTarget.back().bytes.data(), sizeof(bounced));
+    uint32_t mark = bounced.mark + 1000; // of an earlier process of the agent
+    bounced = fixture.callerPacket(0x9000'0000, 0);
+    bounced.bounced = true;
+    bounced.mark = mark;
+    fixture.receiveFromTarget(bounced);
+    CHECK(fixture.agent.flowCount() == 1);
+    CHECK(fixture.isDelivered(firstIsn));
+}
+
+// Guards against a new flow that opens by a copy of its SYN although the state has changed since the first one.
+TEST_CASE("ports used again: each copy of a SYN beside a known flow passes the checks", "[ports]")
+{
+    PortReuseFixture fixture;
+    CHECK(fixture.isOffered(laterIsns.begin()[0]));
+    fixture.refuseBy(GENERATE(Check::NewerRoutes, Check::Draining, Check::Evacuated));
+    CHECK(!fixture.isOffered(laterIsns.begin()[0], 1));
+    CHECK(fixture.isDelivered(firstIsn));
+}
+
+// Guards against a new flow that counts as answered, and is located here, by a late packet of the earlier one.
+TEST_CASE("ports used again: a late packet of the target on the earlier flow does not answer the new one", "[ports]")
+{
+    PortReuseFixture fixture;
+    fixture.end(Ending::CallerReset);
+    CHECK(fixture.isOffered(laterIsns.begin()[0]));
+    size_t frames = fixture.output.frames.size();
+    fixture.receiveFromTarget(fixture.targetPacket(firstTargetIsn, requestBytes));
+    CHECK(fixture.output.frames.size() == frames);
+}
+
+// Guards against a reset of an open flow by the agent of an earlier one whose numbers are close by chance.
+TEST_CASE("ports used again: a later SYN bounds the window of a flow whose initial number is unknown", "[ports]")
+{
+    LateAgentFixture fixture;
+    CHECK(fixture.isDelivered(firstIsn));
+    fixture.receiveFromTarget(fixture.targetPacket(firstTargetIsn, requestBytes));
+    fixture.refuseBy(Check::OtherService);
+    CHECK(!fixture.isOffered(firstIsn + 5000));
+    CHECK(!fixture.isDelivered(firstIsn + 5000));
+    CHECK(fixture.isDelivered(firstIsn + requestBytes));
+}
+
 // Guards against a flow at a new start of the target that is not in the register yet.
 TEST_CASE("ports used again: a new start of the target decides on no SYN that the earlier one got", "[ports]")
 {
--- a/libs/steering/target_flows.h
+++ b/libs/steering/target_flows.h
@@ -52,6 +52,8 @@
     uint32_t targetIsn = 0; // initial sequence number of the target, from its SYN-ACK
     uint32_t answerEnd
         = 0; // sequence number after the newest data of the target; valid when established or mayHaveEnded
+    bool hasTargetAck = false; // targetAck is known
+    uint32_t targetAck = 0; // newest acknowledgement of the target
     uint32_t requestEnd = 0; // sequence number after the newest caller data that was seen or acknowledged
     Time requestForwarded; // time at which the newest request was forwarded
 
@@ -68,6 +70,13 @@
     bool isReplacedBy(const FlowPacket& synAck) const;
     // False when the caller's packet is certainly not one of this flow, but of another one between the same ends.
     bool isOwn(const FlowPacket&) const;
+    // True when the caller's packet or SYN is certainly not one of this flow.
+    bool isOther(const FlowPacket&) const;
+    // True when the target's packet is a late one of the flow that this one replaced.
+    bool isAnswerToPrevious(const FlowPacket&) const;
+    // True when the target's packet shows that the target, which has not answered this flow's SYN, holds another flow
+    // between the same ends.
+    bool isContradictedBy(const FlowPacket&) const;
     // True when the caller's packet is a late one of the flow that this one replaced.
     bool isOfPrevious(const FlowPacket&) const;
     // Updates requestEnd from a packet with data of the caller. Returns false for repeated data.
