Bound the window of a flow of unknown initial number by a later SYN

Cause: a SYN of another flow was noted only when the caller's initial number of the known flow was known, which it is not after a restart of the agent.

Change: without that number, a SYN at or after the target's newest acknowledgement is noted too.

--- a/libs/steering/agent_offers.cc
+++ b/libs/steering/agent_offers.cc
@@ -60,7 +60,7 @@
         m_observer.onDecision(Decision::Repeated, packet.flow, inputs);
         return true;
     }
-    if (known.hasCallerIsn && !known.isOpenedBy(packet))
+    if (known.isOther(packet))
         known.noteOther(packet);
     bool isOpened = known.synForwarded && known.isOpenedBy(packet);
     bool hasTarget = m_registration.state() != TargetState::Departed && !m_registration.isContested();
--- a/libs/steering/port_reuse_test.cc
+++ b/libs/steering/port_reuse_test.cc
@@ -326,3 +326,15 @@
     fixture.receiveFromTarget(fixture.targetPacket(firstTargetIsn, requestBytes));
     CHECK(fixture.output.frames.size() == frames);
 }
+
+// Guards against a reset of an open flow by the agent of an earlier one whose numbers are close by chance.
+TEST_CASE("ports used again: a later SYN bounds the window of a flow whose initial number is unknown", "[ports]")
+{
+    LateAgentFixture fixture;
+    CHECK(fixture.isDelivered(firstIsn));
+    fixture.receiveFromTarget(fixture.targetPacket(firstTargetIsn, requestBytes));
+    fixture.refuseBy(Check::OtherService);
+    CHECK(!fixture.isOffered(firstIsn + 5000));
+    CHECK(!fixture.isDelivered(firstIsn + 5000));
+    CHECK(fixture.isDelivered(firstIsn + requestBytes));
+}
--- a/libs/steering/target_flows.cc
+++ b/libs/steering/target_flows.cc
@@ -40,8 +40,10 @@
 bool TargetFlow::isOwn(const FlowPacket& packet) const
 {
     // Without the initial number only the target tells which flow it holds: packets that were tried prove nothing.
-    if (!hasCallerIsn)
-        return !hasTargetAck || isNear(packet.sequence, targetAck);
+    if (!hasCallerIsn) {
+        bool isOfOther = hasOtherIsn && !isAfter(targetAck, otherIsn) && packet.sequence - otherIsn < callerWindowBytes;
+        return !hasTargetAck || (isNear(packet.sequence, targetAck) && !isOfOther);
+    }
     uint32_t offset = packet.sequence - callerIsn;
     if (hasOtherIsn && packet.sequence - otherIsn < offset)
         return false;
@@ -51,7 +53,9 @@
 
 bool TargetFlow::isOther(const FlowPacket& packet) const
 {
-    return packet.syn ? hasCallerIsn && packet.sequence != callerIsn : !isOwn(packet);
+    if (!packet.syn)
+        return !isOwn(packet);
+    return hasCallerIsn ? packet.sequence != callerIsn : hasTargetAck && !isAfter(targetAck, packet.sequence);
 }
 
 bool TargetFlow::isAnswerToPrevious(const FlowPacket& packet) const
