Let callers of the schedules use their ports again and vanish

The schedules number the states, whose ages differ between processes, and give each flow a random initial sequence number. With `portReuse` callers end flows by FINs, a FIN of one side, a reset or nothing, and open the next one from the same port 0.05 s to 10 s later; copies of packets arrive up to 2 s late, and a target that holds another flow between the same ends takes the new one in its place, bounces its SYN or does not answer.

Checks: a SYN reaches a target only if a state that is at least as new as that of the target's agent gives new flows of the address to its service, besides draining and evacuation as before; a caller's packets reach the target of the flow that it has now; a copy of the SYN of a flow that both ends have closed opens nothing at its target. A caller ignores resets more than 76,800 bytes from its last acknowledgement. The copy of a SYN that a target was given needs no other admission.

A target that is given a copy of a SYN that it has taken answers with the number of its first answer, as targets do; it drew another one before. Callers and targets are files of their own.

--- a/libs/steering/fabric_faults.cc
+++ b/libs/steering/fabric_faults.cc
@@ -54,6 +54,7 @@
             m_evacuated.insert("dc-" + std::to_string(m_random.below(3)));
         else
             m_evacuated.clear();
+        addState(newestState().routes);
         distributeState(false);
         break;
     default:
@@ -222,7 +223,7 @@
     EntryNode& entry = *m_entries[index];
     m_faults[index] = {};
     entry.start();
-    entry.steering->setState(StateIndex(1), m_routes, m_evacuated);
+    giveState(entry);
     for (auto& other : m_agents)
         announce(*other, entry);
 }
@@ -239,23 +240,28 @@
 {
     startTarget(index);
     m_targets[index].draining = false;
-    for (auto& [port, open] : m_targets[index].flows) {
+    for (auto& [port, held] : m_targets[index].flows) {
         auto found = m_flows.find(port);
-        if (found == m_flows.end() || found->second.target != index || found->second.isReset)
+        bool isCurrent = found != m_flows.end() && found->second.callerIsn == held.callerIsn;
+        if (!isCurrent || found->second.target != index || found->second.isOver())
             continue;
         found->second.lost = true;
         found->second.undeliveredInRow = 0;
         ++m_lost;
     }
     m_targets[index].flows.clear();
+    m_targets[index].endedFlows.clear();
+    m_targets[index].admittedSyns.clear();
 }
 
 void Fabric::restartAgent(size_t index)
 {
     for (auto& [port, flow] : m_flows)
         flow.misdelivered = flow.target == index ? 0 : flow.misdelivered;
+    m_targets[index].endedFlows.clear();
+    m_targets[index].admittedSyns.clear();
     m_agents[index]->start();
-    m_agents[index]->steering->setState(StateIndex(1), m_agents[index]->routes, m_evacuated);
+    giveState(*m_agents[index]);
 }
 
 void Fabric::simulatePowerLoss()
@@ -268,7 +274,7 @@
     for (auto& entry : m_entries) {
         entry->start(); // packets of callers may arrive before its state
         if (m_random.below(2) == 0)
-            entry->steering->setState(StateIndex(1), m_routes, m_evacuated);
+            giveState(*entry);
     }
     m_confirmations.clear();
 }
--- a/libs/steering/fabric_simulation.cc
+++ b/libs/steering/fabric_simulation.cc
@@ -1,7 +1,7 @@
+// Network, states and members of the simulation. Callers are in fabric_callers.cc, targets in fabric_targets.cc, faults
+// in fabric_faults.cc.
 #include "steering/fabric_simulation.h"
 
-#include <cstring>
-
 namespace cicadaward::steering {
 
 using namespace std::chrono_literals;
@@ -9,18 +9,9 @@
 namespace {
 
     // No configuration routes the first address to the archive or the second one to the hub.
-    const Endpoint addresses[] = { { 0xC6120001, 443 }, { 0xC6120002, 443 } };
     const ServiceKey servicesOf[][2]
         = { { fabricServices[0], fabricServices[1] }, { fabricServices[1], fabricServices[2] } };
     constexpr Duration stepLength = 5ms;
-    // A flow is broken when more consecutive packets than this do not reach its target.
-    constexpr int maxUndeliveredInRow = 12;
-    constexpr uint16_t requestBytes = 20;
-    // A flow is broken when this many consecutive packets, over at least this time, reach other targets and none
-    // reaches its own.
-    constexpr int maxMisdelivered = 3;
-    constexpr Duration misdeliveryLimit = 2s;
-    constexpr uint64_t maxBounceDelayMs = 500; // of a slow target
 
 } // namespace
 
@@ -72,6 +63,7 @@
         giveHeldHeartbeats();
         deliver();
         sendDueAnswers();
+        deliverRequestedStates();
         tick();
         if (step % 200 == 0) { // each second
             for (size_t i = 0; i < agentCount(); ++i)
@@ -84,6 +76,7 @@
         updateRegister();
         deliverConfirmations();
         sendCallerPackets();
+        sendLateCopies();
     }
     return m_violation;
 }
@@ -138,240 +131,76 @@
     }
 }
 
-void Fabric::sendFromCaller(const FlowPacket& packet)
-{
-    size_t entry = m_random.below(m_options.entries);
-    if (!isWorking(m_faults[entry]))
-        return;
-    std::vector<uint8_t> bytes = FakePacketFormat::encode(packet);
-    m_entries[entry]->steering->onCallerPacket(bytes.data(), bytes.size());
-}
-
-void Fabric::openFlow()
-{
-    Flow flow;
-    flow.id = { { 0x64400001, ++m_lastPort }, addresses[m_random.below(2)] };
-    m_flows[m_lastPort] = flow;
-    m_flows[m_lastPort].nextPacket = m_clock.now() + 200ms;
-    sendFromCaller(synPacket(flow.id));
-}
-
-void Fabric::sendCallerPackets()
-{
-    for (auto& [port, flow] : m_flows) {
-        if (m_clock.now() < flow.nextPacket || flow.isReset)
-            continue;
-        if (flow.target == SIZE_MAX) {
-            flow.nextPacket = m_clock.now() + 400ms;
-            if (++flow.synRetransmits <= 2)
-                sendFromCaller(synPacket(flow.id, flow.synRetransmits));
-            else
-                flow.isReset = true;
-            continue;
-        }
-        flow.nextPacket = m_clock.now() + 200ms;
-        flow.isCountedMisdelivered = false;
-        if (!isWorking(agentFault(flow.target)) && !flow.lost) {
-            flow.undeliveredInRow = 0;
-            flow.misdelivered = 0;
-        }
-        if (++flow.undeliveredInRow > maxUndeliveredInRow && flow.lost)
-            flow.isReset = true; // the caller gives up
-        else if (flow.undeliveredInRow > maxUndeliveredInRow)
-            m_violation = "flow " + std::to_string(port) + " no longer reaches its target";
-        FlowPacket packet = dataPacket(flow.id, flow.hasOpenRequest ? 0 : requestBytes);
-        packet.sequence = flow.sequence;
-        packet.acknowledged = flow.acknowledged;
-        sendFromCaller(packet);
-    }
-}
-
-void Fabric::onPacketAtTarget(size_t index, std::vector<uint8_t> bytes)
+void Fabric::changeRoutes()
 {
-    FlowPacket packet;
-    std::memcpy(&packet, bytes.data(), sizeof(packet));
-    Target& target = m_targets[index];
-    auto flow = m_flows.find(packet.flow.caller.port);
-    if (flow == m_flows.end())
-        return;
-    if (packet.syn) {
-        bool isCopy = target.flows.count(packet.flow.caller.port) != 0;
-        if (!isCopy && !mayOpen(index, packet.flow))
-            m_violation = "a new flow at a target that must not take it";
-        target.flows.emplace(packet.flow.caller.port, false);
-        FlowPacket answer;
-        answer.flow = packet.flow;
-        answer.syn = answer.ack = true;
-        answer.sequence = static_cast<uint32_t>(m_random.next());
-        sendFromTarget(index, answer);
-        return;
-    }
-    if (flow->second.target == index && isOpenAt(index, packet.flow.caller.port)) {
-        ++m_delivered;
-        flow->second.undeliveredInRow = 0;
-        flow->second.misdelivered = 0;
-        if (packet.length > 0 && packet.sequence == flow->second.sequence) {
-            flow->second.sequence += packet.length;
-            onRequestAtTarget(index, flow->second);
+    std::vector<Route> routes;
+    for (size_t i = 0; i < 2; ++i) {
+        std::vector<WeightedService> weights;
+        for (ServiceKey service : servicesOf[i]) {
+            uint32_t weight = static_cast<uint32_t>(m_random.below(3));
+            if (weight > 0)
+                weights.push_back({ service, weight });
         }
-        return;
-    }
-    recordMisdelivery(packet.flow.caller.port, flow->second);
-    bounce(index, packet);
-}
-
-void Fabric::onRequestAtTarget(size_t index, Flow& flow)
-{
-    Target& target = m_targets[index];
-    flow.hasOpenRequest = true;
-    bool isFailing = target.failingUntil > m_clock.now();
-    if (!isFailing) {
-        m_answers.emplace(m_clock.now() + std::chrono::milliseconds(m_random.below(600)), flow.id);
-        return;
+        if (weights.empty()) // targets of a service that a route no longer names still hold flows
+            weights.push_back({ servicesOf[i][m_random.below(2)], 1 });
+        routes.push_back(makeRoute(fabricAddresses[i], weights));
+        routes.back().timeout = 2s;
+        routes.back().objective = 200ms;
     }
-    if (target.isHanging)
-        return;
-    target.flows.erase(flow.id.caller.port);
-    ++m_resetByTargets;
-    FlowPacket reset;
-    reset.flow = flow.id;
-    reset.reset = reset.ack = true;
-    reset.sequence = flow.acknowledged;
-    reset.acknowledged = flow.sequence;
-    sendFromTarget(index, reset);
+    RouteTable routesBefore = m_states.empty() ? RouteTable() : newestState().routes;
+    addState(RouteTable::successor(routesBefore,
+        makeConfiguration(routesBefore.version() + 1, std::move(routes), { "hub", "catalogue", "archive" })));
+    distributeState(false);
 }
 
-bool Fabric::isOpenAt(size_t index, uint16_t port) const
-{
-    auto found = m_targets[index].flows.find(port);
-    return found != m_targets[index].flows.end() && found->second;
-}
+void Fabric::addState(RouteTable routes) { m_states.push_back({ StateIndex(m_states.size() + 1), std::move(routes) }); }
 
-// A packet that is queued at the agent of the flow's target counts as delivered.
-void Fabric::recordQueuedRequest(size_t index, uint16_t port)
+void Fabric::giveState(EntryNode& entry)
 {
-    ++m_requestsQueued;
-    auto found = m_flows.find(port);
-    if (found != m_flows.end() && found->second.target == index)
-        found->second.undeliveredInRow = 0;
+    entry.steering->setState(newestState().index, newestState().routes, m_evacuated);
 }
 
-void Fabric::recordMisdelivery(uint16_t port, Flow& flow)
+void Fabric::giveState(AgentNode& agent)
 {
-    if (flow.target == SIZE_MAX || flow.lost || flow.isReset || flow.isCountedMisdelivered)
-        return;
-    flow.isCountedMisdelivered = true;
-    if (flow.misdelivered++ == 0)
-        flow.misdeliveredSince = m_clock.now();
-    if (flow.misdelivered >= maxMisdelivered && m_clock.now() - flow.misdeliveredSince >= misdeliveryLimit)
-        m_violation = "packets of flow " + std::to_string(port) + " reach other targets only";
+    agent.steering->setState(agent.state.index, agent.state.routes, m_evacuated);
 }
 
-void Fabric::bounce(size_t index, FlowPacket packet)
+void Fabric::requestState(size_t process)
 {
-    packet.bounced = true;
-    if (m_targets[index].slowUntil <= m_clock.now()) {
-        sendFromTarget(index, packet);
-        return;
-    }
-    if (m_random.below(20) == 0)
-        return;
-    m_network.push({ m_clock.now() + std::chrono::milliseconds(m_random.below(maxBounceDelayMs)), ++m_order,
-        m_options.entries + index, true, {}, FakePacketFormat::encode(packet) });
+    m_stateRequests.try_emplace(process, m_clock.now() + std::chrono::milliseconds(m_random.below(80)));
 }
 
-void Fabric::sendDueAnswers()
+void Fabric::deliverRequestedStates()
 {
-    while (!m_answers.empty() && m_answers.begin()->first <= m_clock.now()) {
-        FlowId id = m_answers.begin()->second;
-        m_answers.erase(m_answers.begin());
-        Flow& flow = m_flows[id.caller.port];
-        if (flow.lost || flow.isReset)
+    for (auto i = m_stateRequests.begin(); i != m_stateRequests.end();) {
+        auto [process, due] = *i;
+        if (due > m_clock.now()) {
+            ++i;
             continue;
-        flow.hasOpenRequest = false;
-        FlowPacket answer = dataPacket(id, 30);
-        answer.sequence = flow.answerEnd;
-        flow.answerEnd += answer.length;
-        sendFromTarget(flow.target, answer);
-    }
-}
-
-void Fabric::sendFromTarget(size_t index, const FlowPacket& packet)
-{
-    std::vector<uint8_t> bytes = FakePacketFormat::encode(packet);
-    if (isWorking(agentFault(index)))
-        m_agents[index]->steering->onTargetPacket(bytes.data(), bytes.size());
-    else
-        m_network.push({ m_clock.now(), ++m_order, m_options.entries + index, true, {}, std::move(bytes) });
-}
-
-void Fabric::onPacketAtCaller(const FlowId& id, const std::vector<uint8_t>& bytes, size_t index)
-{
-    FlowPacket packet;
-    std::memcpy(&packet, bytes.data(), sizeof(packet));
-    auto found = m_flows.find(id.caller.port);
-    if (found == m_flows.end())
-        return;
-    Flow& flow = found->second;
-    if (packet.reset) {
-        bool held = flow.target != SIZE_MAX && isOpenAt(flow.target, id.caller.port);
-        if (held)
-            m_violation = "open flow " + std::to_string(id.caller.port) + " was reset by "
-                + (index == SIZE_MAX ? "an entry" : "the agent " + std::to_string(index));
-        if (flow.lost && !flow.isReset)
-            ++m_lostAndReset;
-        flow.isReset = true;
-    } else if (packet.syn && flow.target == SIZE_MAX && !flow.isReset) {
-        flow.target = index; // the caller acknowledges the first SYN-ACK that it receives
-        flow.acknowledged = flow.answerEnd = packet.sequence + 1;
-        m_targets[index].flows[id.caller.port] = true;
-        flow.nextPacket = m_clock.now();
-        ++m_opened;
-    } else if (!packet.syn && packet.sequence == flow.acknowledged) {
-        flow.acknowledged += packet.length;
-    }
-}
-
-bool Fabric::mayOpen(size_t index, const FlowId& flow) const
-{
-    const Target& target = m_targets[index];
-    if (target.draining || m_evacuated.count("dc-" + std::to_string(index % 3)) != 0)
-        return false;
-    const auto& allowed = servicesOf[flow.service == addresses[0] ? 0 : 1];
-    return std::find(std::begin(allowed), std::end(allowed), target.service) != std::end(allowed);
-}
-
-void Fabric::changeRoutes()
-{
-    std::vector<Route> routes;
-    for (size_t i = 0; i < 2; ++i) {
-        std::vector<WeightedService> weights;
-        for (ServiceKey service : servicesOf[i]) {
-            uint32_t weight = static_cast<uint32_t>(m_random.below(3));
-            if (weight > 0)
-                weights.push_back({ service, weight });
         }
-        if (weights.empty()) // targets of a service that a route no longer names still hold flows
-            weights.push_back({ servicesOf[i][m_random.below(2)], 1 });
-        routes.push_back(makeRoute(addresses[i], weights));
-        routes.back().timeout = 2s;
-        routes.back().objective = 200ms;
+        i = m_stateRequests.erase(i);
+        if (!isWorking(m_faults[process]))
+            continue;
+        if (process < m_options.entries) {
+            giveState(*m_entries[process]);
+            continue;
+        }
+        AgentNode& agent = *m_agents[process - m_options.entries];
+        agent.state = newestState();
+        giveState(agent);
     }
-    m_routes = RouteTable::successor(
-        m_routes, makeConfiguration(m_routes.version() + 1, std::move(routes), { "hub", "catalogue", "archive" }));
-    distributeState(false);
 }
 
 void Fabric::distributeState(bool all)
 {
     for (auto& agent : m_agents) {
-        if (all || m_random.below(3) != 0 || agent->routes.version() == 0)
-            agent->routes = m_routes;
-        agent->steering->setState(StateIndex(1), agent->routes, m_evacuated);
+        if (all || m_random.below(3) != 0 || agent->state.index == StateIndex())
+            agent->state = newestState();
+        giveState(*agent);
     }
     for (auto& entry : m_entries) {
         if (all || m_random.below(3) != 0 || !entry->steering->isReady())
-            entry->steering->setState(StateIndex(1), m_routes, m_evacuated);
+            giveState(*entry);
     }
 }
 
@@ -395,7 +224,7 @@
 void Fabric::requestConfirmation(size_t entry)
 {
     Time due = m_clock.now() + std::chrono::milliseconds(m_random.below(80));
-    m_confirmations.try_emplace(entry, Confirmation { m_clock.now(), due, m_routes, m_register });
+    m_confirmations.try_emplace(entry, Confirmation { m_clock.now(), due, newestState(), m_register });
 }
 
 void Fabric::deliverConfirmations()
@@ -411,8 +240,8 @@
         i = m_confirmations.erase(i);
         if (!isWorkingEntry)
             continue;
-        if (confirmation.routes.version() > entry.routes().version())
-            entry.setState(StateIndex(1), confirmation.routes, m_evacuated);
+        if (confirmation.state.routes.version() > entry.routes().version())
+            entry.setState(confirmation.state.index, confirmation.state.routes, m_evacuated);
         for (auto& [agent, registered] : confirmation.members) {
             MemberRecord record = registered;
             record.state = TargetState::Unknown;
--- a/libs/steering/steering_schedule_test.cc
+++ b/libs/steering/steering_schedule_test.cc
@@ -1,7 +1,8 @@
 // Runs entries and agents under random faults in the simulation of fabric_simulation.h.
 //
 // Guards against an open flow whose packets no longer reach its target, a reset of an open flow, a new flow at a target
-// that is draining, evacuated or of another service, and flows of ended targets that are not reset.
+// that is draining, evacuated or of a service that the newest state known there excludes, and flows of ended targets
+// that are not reset.
 //
 //     CICADAWARD_SCHEDULES=20000 steering_schedule_test   runs this many seeds
 //     CICADAWARD_SEED=17 steering_schedule_test           runs one seed
@@ -29,6 +30,8 @@
     size_t lostAndReset = 0;
     size_t resetByTargets = 0;
     size_t passedOnAsEjected = 0;
+    size_t reopened = 0;
+    size_t takenInPlace = 0;
     size_t failed = 0; // schedules
     std::string failures;
 
@@ -61,6 +64,8 @@
         totals.lostAndReset += fabric.lostAndReset();
         totals.resetByTargets += fabric.resetByTargets();
         totals.passedOnAsEjected += fabric.passedOnAsEjected();
+        totals.reopened += fabric.reopened();
+        totals.takenInPlace += fabric.takenInPlace();
     }
     return totals;
 }
@@ -157,3 +162,31 @@
     CHECK(totals.resetByTargets > 10 * count);
     CHECK(totals.passedOnAsEjected > 10 * count);
 }
+
+// Also guards against new flows that pass over the agent's checks because an earlier flow had the same ports, packets
+// of a flow at a target that holds an earlier one, resets that were due to an earlier one, and copies of the SYN of a
+// flow that has ended.
+TEST_CASE("ports used again: flows keep their targets under random faults", "[schedules][ports]")
+{
+    FabricOptions options;
+    options.portReuse = true;
+    SECTION("few targets") { }
+    SECTION("12 targets whose processes fail too")
+    {
+        options.targets = { 5, 4, 3 };
+        options.processFaults = true;
+    }
+    SECTION("200 targets whose processes fail too")
+    {
+        options.targets = { 180, 14, 6 };
+        options.processFaults = true;
+        options.stepsPerFault = 20;
+    }
+    uint64_t count = scheduleCount(options.targets[0] > 100 ? 20 : 300);
+    Totals totals = runSchedules(options, count);
+    INFO(totals.report(count));
+    CHECK(totals.failures.empty());
+    CHECK(totals.opened > 150 * count);
+    CHECK(totals.reopened > 50 * count);
+    CHECK(totals.takenInPlace > count);
+}
