Ask others for the control group also when only a stale instance answers

A front machine may run an entry and a control instance. Frozen while the other control instances are replaced, its own old instance goes on answering polls with an old state, so the entry counted as in contact and never asked another process. It asks now when its state stays behind for 2 s as well.

Known instances come first now, and a list counts once, from the process asked.

--- a/libs/cluster/poller.cc
+++ b/libs/cluster/poller.cc
@@ -181,7 +181,7 @@
     else if (envelope.kind == MessageKind::ControlsRequest)
         onControlsRequest(sender);
     else if (envelope.kind == MessageKind::Controls && decodeMessage(envelope.body, controls))
-        onControls(controls);
+        onControls(sender, controls);
     else
         return false;
     return true;
@@ -286,25 +286,27 @@
 
 void Poller::onPeer(Endpoint process)
 {
-    if (m_inContact || m_clock.now() < m_nextControlsRequest)
+    if (!isLost() || m_clock.now() < m_nextControlsRequest)
         return;
+    m_askedForControls = process;
     m_nextControlsRequest = m_clock.now() + controlsRequestInterval;
     m_output.sendMessage(process, { MessageKind::ControlsRequest, {} });
 }
 
 void Poller::onControlsRequest(Endpoint sender)
 {
-    if (m_inContact)
+    if (!isLost())
         m_output.sendMessage(sender, { MessageKind::Controls, encodeMessage(Controls { m_controls }) });
 }
 
-// The list is only a hint: the known instances stay in it, and the next reply with a state replaces it.
-void Poller::onControls(const Controls& hint)
+// The list is only a hint: the known instances stay in it, and the next reply with a newer state replaces it.
+void Poller::onControls(Endpoint sender, const Controls& hint)
 {
-    if (m_inContact)
+    if (sender != m_askedForControls)
         return;
+    m_askedForControls = {};
     std::vector<Endpoint> known = m_controls;
-    known.insert(known.begin(), hint.controls.begin(), hint.controls.end());
+    known.insert(known.end(), hint.controls.begin(), hint.controls.end());
     setControls(known);
     pollAll();
 }
--- a/libs/cluster/poller.h
+++ b/libs/cluster/poller.h
@@ -85,8 +85,8 @@
     void confirmMembers();
     // Another entry or agent has a state of this index. Polls at once when it is newer than any that was named before.
     void onNewerState(LogIndex);
-    // Call for each frame of another entry or agent. While no control instance answers, asks the sender which ones it
-    // polls, at most once a second: all that this process knows may have been replaced.
+    // Call for each frame of another entry or agent. While no control instance answers, or the state stays behind, asks
+    // the sender which instances it polls, at most once a second: all that this process knows may have been replaced.
     void onPeer(Endpoint process);
     // Sets control instances that were discovered by other means. A reply with a state replaces them.
     void updateControls(const std::vector<Endpoint>& controls) { updateControls(0, controls); }
@@ -113,7 +113,8 @@
     void onConfirmation(const PollReply&);
     void onNotice(Endpoint sender, const StateNotice&);
     void onControlsRequest(Endpoint sender);
-    void onControls(const Controls&);
+    void onControls(Endpoint sender, const Controls&);
+    bool isLost() const { return !m_inContact || behindFor() > behindReportDelay; }
     void setControls(const std::vector<Endpoint>& controls);
     bool isBehind() const { return m_state.index != 0 && m_heardIndex > m_state.index; }
     void hear(LogIndex);
@@ -155,6 +156,7 @@
         m_confirmationTimes {}; // request times by number modulo the size; replies may be several intervals late
     Time m_nextConfirmation;
     Time m_nextControlsRequest;
+    Endpoint m_askedForControls; // the process that may answer the last request; port 0: none
     LogIndex m_controlsIndex = 0; // state index of the reply that set m_controls
 };
 
--- a/libs/cluster/poller_test.cc
+++ b/libs/cluster/poller_test.cc
@@ -382,17 +382,26 @@
         return reply;
     };
     poller.onReply(gone, replyWith(1, gone));
-    SECTION("in contact, it needs none and takes none")
+    poller.onPeer(other); // in contact, it needs none
+    CHECK(output.count(other, MessageKind::ControlsRequest) == 0);
+    SECTION("no instance answers")
     {
-        poller.onPeer(other);
-        CHECK(output.count(other, MessageKind::ControlsRequest) == 0);
-        poller.onMessage(other, { MessageKind::Controls, encodeMessage(Controls { { peerB } }) });
-        CHECK(output.count(peerB, MessageKind::Poll) == 0);
-        return;
+        clock.advance(20s);
+        poller.onTick();
+        REQUIRE(!poller.isInContact());
     }
-    clock.advance(20s);
-    poller.onTick();
-    REQUIRE(!poller.isInContact());
+    SECTION("an instance that has left the group answers")
+    {
+        for (int i = 0; i < 10; ++i) {
+            poller.onNewerState(5);
+            clock.advance(300ms);
+            poller.onReply(gone, replyWith(1, gone));
+            poller.onTick();
+        }
+        REQUIRE(poller.isInContact());
+    }
+    poller.onMessage(other, { MessageKind::Controls, encodeMessage(Controls { { peerB } }) }); // not asked for
+    CHECK(output.count(peerB, MessageKind::Poll) == 0);
     poller.onPeer(other);
     poller.onPeer(other);
     CHECK(output.count(other, MessageKind::ControlsRequest) == 1);
@@ -406,6 +415,9 @@
 
     REQUIRE(poller.onMessage(other, otherOutput.sent.back().second));
     CHECK(output.count(peerB, MessageKind::Poll) == 1);
+    CHECK(std::count(poller.controls().begin(), poller.controls().end(), gone) == 1);
+    poller.onMessage(other, otherOutput.sent.back().second); // a second answer
+    CHECK(output.count(peerB, MessageKind::Poll) == 1);
     poller.onReply(peerB, replyWith(5, peerB));
     CHECK(output.index == 5);
     CHECK(poller.isInContact());
@@ -427,6 +439,7 @@
     Controls hint;
     for (uint16_t i = 0; i < 2 * maxControls; ++i)
         hint.controls.push_back({ 0x0A030000, i });
+    poller.onPeer(peerB);
     poller.onMessage(peerB, { MessageKind::Controls, encodeMessage(hint) });
     CHECK(poller.controls().size() == maxControls);
     CHECK(std::count(poller.controls().begin(), poller.controls().end(), peerA) == 1);
