Count no denial of an agent that holds another flow between the same ends

What callers saw: an open flow was reset when a late packet of an earlier flow between the same ends came through another entry.

Cause: the agent denied the packet with certainty. When all members had denied it and the leader had confirmed them, the entry reset the four-tuple, whose present flow was open at that very agent.

Change: while the known flow may be open the denial is uncertain, so no reset follows.

Result: 'a late packet of an earlier flow resets no open flow' failed before (the caller got a reset) and passes.

--- a/libs/steering/agent_steering.cc
+++ b/libs/steering/agent_steering.cc
@@ -287,6 +287,7 @@
     }
     const char* reason = "of another flow between its ends";
     m_observer.onDecision(Decision::NotHeld, packet.flow, { frame.entry, reason, m_routes.version() });
+    frame.isUncertain = frame.isUncertain || !known.isClosed(); // a reset would reach the caller of the known flow
     if (!known.isOfPrevious(packet))
         passOn(frame, packet, reason, data, size);
 }
