Offer no new flow first to the agent of an earlier one in an evacuated data centre

What callers saw: a new flow from ports of an earlier one opened in a data centre that the entry knew to be evacuated. An entry asks the agent in its cache first, because a SYN may be a copy; the agent's own state protects the data centre only if it is as new.

Change: for a SYN with another number the agent is left out while its data centre is evacuated.

Result: 'the agent of the earlier flow is not asked while its data centre is evacuated' failed before and passes.

--- a/libs/steering/entry_steering.cc
+++ b/libs/steering/entry_steering.cc
@@ -122,7 +122,7 @@
         startFlow(packet.flow, *cachedFlow, packet.sequence);
     if (cachedFlow && packet.synRetransmission == 0)
         cachedFlow->firstSynAt = arrived;
-    if (cachedFlow && cachedFlow->agent.port != 0) {
+    if (cachedFlow && cachedFlow->agent.port != 0 && !(isOtherFlow && isEvacuated(cachedFlow->agent))) {
         frame.members.push_back(cachedFlow->agent);
         frame.shouldCompareLoad = false;
         // A member that is listed once more is taken for the last resort, see AgentSteering::isLastResort().
@@ -463,6 +463,12 @@
     cachedFlow.callerIsn = callerIsn;
 }
 
+bool EntrySteering::isEvacuated(Endpoint agent) const
+{
+    const MemberRecord* member = m_members.find(agent);
+    return member && m_evacuated.count(member->dataCentre) != 0;
+}
+
 void EntrySteering::countUnansweredOffer(Endpoint agent)
 {
     if (agent.port == 0)
--- a/libs/steering/entry_steering.h
+++ b/libs/steering/entry_steering.h
@@ -146,6 +146,7 @@
     void send(Endpoint agent, const Frame&, const uint8_t* packet, size_t size);
     CachedFlow* findOrAddFlow(const FlowId&);
     void startFlow(const FlowId&, CachedFlow&, uint32_t callerIsn);
+    bool isEvacuated(Endpoint agent) const;
     void countUnansweredOffer(Endpoint agent);
     void checkUnansweredOffers();
     void retryUnansweredPackets();
--- a/libs/steering/port_reuse_test.cc
+++ b/libs/steering/port_reuse_test.cc
@@ -369,3 +369,23 @@
     CHECK(other.output.toCaller.empty());
     CHECK(fixture.isDelivered(firstIsn));
 }
+
+// Guards against a new flow in an evacuated data centre, at an agent that does not know of the evacuation yet.
+TEST_CASE("ports used again: the agent of the earlier flow is not asked while its data centre is evacuated", "[ports]")
+{
+    EntryWithoutState entry;
+    entry.entry.setState(StateIndex(4), makeHubRouteTable(), {});
+    MemberRecord first = testMember(1);
+    entry.entry.members().update(first);
+    FlowPacket syn = synPacket(testFlow(1));
+    syn.sequence = firstIsn;
+    entry.packet(syn);
+    std::vector<uint8_t> located = flowFrameBytes(FrameKind::Located, testFlow(1));
+    entry.entry.onFrame(first.agent, located.data(), located.size());
+    entry.entry.members().update(testMember(2));
+    entry.entry.setState(StateIndex(5), makeHubRouteTable(), { first.dataCentre });
+    syn.sequence = 0x9000'0000;
+    entry.packet(syn);
+    CHECK(entry.output.frames.back().to == testMember(2).agent);
+    CHECK(entry.output.lastFrame().members.size() == 1);
+}
