Bound what denied offers cause

A faulty agent that denies what its own state allows made an entry repeat a copy of a SYN at the speed of the round trip; each repetition needs a state newer than that of the last offer now. A denial of a flow that the full cache does not have requests the newer state as well. An agent without a state no longer requests one that an offer names. The bound of an impossible index was 2^20 changes, but indices are positions in the log, which registrations advance too: 2^32 now.

--- a/libs/steering/agent_offers.cc
+++ b/libs/steering/agent_offers.cc
@@ -80,7 +80,7 @@
             { frame.entry, "impossible state index", m_routes.version(), 0, m_state, frame.state });
         return;
     }
-    if (frame.state > m_state)
+    if (m_hasState && frame.state > m_state)
         m_output.newerStateSeen(frame.state);
     if (TargetFlow* known = m_flows.find(packet.flow); known && handleCopy(*known, frame, packet, data, size))
         return;
--- a/libs/steering/entry_steering.cc
+++ b/libs/steering/entry_steering.cc
@@ -122,6 +122,8 @@
         startFlow(packet.flow, *cachedFlow, packet.sequence);
     if (cachedFlow && packet.synRetransmission == 0)
         cachedFlow->firstSynAt = arrived;
+    if (cachedFlow)
+        cachedFlow->offeredBy = m_state;
     if (cachedFlow && cachedFlow->agent.port != 0 && !(isOtherFlow && isEvacuated(cachedFlow->agent))) {
         frame.members.push_back(cachedFlow->agent);
         frame.shouldCompareLoad = false;
@@ -335,14 +337,14 @@
     m_offers.erase(std::remove_if(m_offers.begin(), m_offers.end(),
                        [&](const PendingOffer& offer) { return offer.flow == packet.flow; }),
         m_offers.end());
+    if (frame.state > m_state)
+        m_output.newerStateSeen(frame.state);
     auto found = m_flows.find(packet.flow);
-    if (found == m_flows.end())
-        return;
+    if (found == m_flows.end() || frame.state <= found->second.offeredBy)
+        return; // each repetition needs a newer state, so their number is bounded
     Time arrived = packet.synRetransmission == 0 ? found->second.firstSynAt : m_clock.now();
     if (m_outdatedOffers.size() < maxOutdatedOffers)
         m_outdatedOffers.push_back({ frame.state, arrived, { data, data + size } });
-    if (frame.state > m_state)
-        m_output.newerStateSeen(frame.state);
     repeatOutdatedOffers();
 }
 
--- a/libs/steering/entry_steering.h
+++ b/libs/steering/entry_steering.h
@@ -89,6 +89,7 @@
         Time firstSynAt; // arrival of the original SYN
         bool hasCallerIsn = false; // callerIsn is known
         uint32_t callerIsn = 0; // of the newest SYN
+        StateIndex offeredBy; // state of the newest offer
         uint32_t lastDataSequence = 0; // of the caller's newest data; valid when hasData
         uint32_t searchSequence = 0; // of the packet that started the search; valid while there is one
         bool hasData = false;
--- a/libs/steering/frame.h
+++ b/libs/steering/frame.h
@@ -30,7 +30,7 @@
 
 constexpr size_t maxFrameMembers = 64;
 constexpr size_t maxOfferMembers = maxFrameMembers - 1; // the state index takes the place of one
-constexpr uint64_t maxStateLead = 1 << 20; // changes; no process is further behind another one
+constexpr uint64_t maxStateLead = uint64_t(1) << 32; // log entries; no process is further behind another one
 constexpr StateIndex maxFrameStateIndex { (uint64_t(1) << 40) - 1 }; // a larger one is not encoded
 constexpr uint8_t noPosition = 0xff; // value of leastLoadedPosition when no load is known
 
