Promote a learner before a silent voter is removed

Cause: a silent voter was removed as soon as a learner could replace it, before that one was a voter. With one tolerated loss the group then had two voters, and the loss of one disk was the loss of the group. The voter that was removed still had its disk.

Change: a learner that has caught up is promoted first; a silent voter is removed only from a group that is larger than the tolerated losses need. Members whose disk is known to be lost are removed at once, as before.

The section "a silent voter of the smallest group stays until a learner can replace it" expected the removal first, which is the fault; it now expects promotion, then removal. A new section replaces two silent voters at two tolerated losses.

Schedules: "[replacements]" freezes instances seconds apart and loses as many disks as the group tolerates at one of the membership changes.

--- a/libs/cluster/cluster_test.cc
+++ b/libs/cluster/cluster_test.cc
@@ -4,6 +4,7 @@
 #include "cluster/relay.h"
 #include "cluster/test_values.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace cicadaward;
@@ -268,9 +269,39 @@
         CHECK_FALSE(group.nextChange(status, state));
         auto change = group.nextChange(groupStatus({ voter(1), voter(2), voter(3, false), learner(9, true) }), state);
         REQUIRE(change);
+        CHECK(change->change == raft::MembershipChange::Promote);
+        CHECK(change->instance == InstanceId(9));
+        change = group.nextChange(groupStatus({ voter(1), voter(2), voter(3, false), voter(9) }), state);
+        REQUIRE(change);
         CHECK(change->change == raft::MembershipChange::Remove);
         CHECK(change->instance == InstanceId(3));
     }
+    SECTION("several silent voters are all replaced, and the group never has fewer than two losses need")
+    {
+        options.toleratedLosses = 2;
+        Group largeGroup(options, clock);
+        raft::RaftStatus status = groupStatus(
+            { voter(1), voter(2), voter(3), voter(4, false), voter(5, false), learner(8, true), learner(9, true) });
+        largeGroup.observe(status);
+        clock.advance(3s);
+        largeGroup.observe(status);
+        for (int i = 0; i < 4; ++i) {
+            auto change = largeGroup.nextChange(status, state);
+            REQUIRE(change);
+            auto changed = std::find_if(status.instances.begin(), status.instances.end(),
+                [&](const raft::InstanceStatus& instance) { return instance.id == change->instance; });
+            if (change->change == raft::MembershipChange::Promote)
+                changed->isVoter = true;
+            else
+                status.instances.erase(changed);
+            CHECK(std::count_if(status.instances.begin(), status.instances.end(),
+                      [](const raft::InstanceStatus& instance) { return instance.isVoter; })
+                >= 5);
+        }
+        CHECK_FALSE(largeGroup.nextChange(status, state));
+        for (const raft::InstanceStatus& instance : status.instances)
+            CHECK((instance.isVoter && instance.isActive));
+    }
     SECTION("a silent voter of a larger group is removed, but not before the limit")
     {
         raft::RaftStatus status = groupStatus({ voter(1), voter(2), voter(3), voter(4, false) });
--- a/libs/cluster/group.cc
+++ b/libs/cluster/group.cc
@@ -37,7 +37,7 @@
         return std::nullopt;
     if (auto change = removeRetired(status, state))
         return change;
-    if (auto change = replaceSilentOrPromote(status))
+    if (auto change = promoteOrRemoveSilent(status))
         return change;
     return addLearner(status, state);
 }
@@ -51,24 +51,21 @@
     return std::nullopt;
 }
 
-std::optional<GroupChange> Group::replaceSilentOrPromote(const raft::RaftStatus& status) const
+// A silent voter may come back with its disk, so it counts among the disks of which `toleratedLosses` may be lost. That
+// many losses leave a quorum only if there are at least twice as many voters and one more, at every moment.
+std::optional<GroupChange> Group::promoteOrRemoveSilent(const raft::RaftStatus& status) const
 {
-    auto ready
-        = std::find_if(status.instances.begin(), status.instances.end(), [](const raft::InstanceStatus& instance) {
-              return !instance.isVoter && instance.isActive && instance.isCaughtUp;
-          });
-    auto silent = std::find_if(status.instances.begin(), status.instances.end(),
-        [&](const raft::InstanceStatus& instance) { return isSilent(instance.id) && instance.id != status.self; });
-    size_t voters = static_cast<size_t>(std::count_if(status.instances.begin(), status.instances.end(),
-        [](const raft::InstanceStatus& instance) { return instance.isVoter; }));
-    size_t needed = 2 * m_options.toleratedLosses + 1;
-    if (silent != status.instances.end()) {
-        bool replaceable = ready != status.instances.end();
-        if (!silent->isVoter || replaceable || voters > needed)
-            return GroupChange { raft::MembershipChange::Remove, silent->id, "silent" };
+    size_t voters = 0;
+    for (const raft::InstanceStatus& instance : status.instances) {
+        if (!instance.isVoter && instance.isActive && instance.isCaughtUp)
+            return GroupChange { raft::MembershipChange::Promote, instance.id, "has caught up" };
+        voters += instance.isVoter ? 1 : 0;
+    }
+    const size_t needed = 2 * m_options.toleratedLosses + 1;
+    for (const raft::InstanceStatus& instance : status.instances) {
+        if (isSilent(instance.id) && instance.id != status.self && (!instance.isVoter || voters > needed))
+            return GroupChange { raft::MembershipChange::Remove, instance.id, "silent" };
     }
-    if (ready != status.instances.end())
-        return GroupChange { raft::MembershipChange::Promote, ready->id, "has caught up" };
     return std::nullopt;
 }
 
--- a/libs/cluster/group.h
+++ b/libs/cluster/group.h
@@ -3,9 +3,9 @@
 //
 // - An instance that sends hellos and is not a member becomes a learner, and a voter once it has caught up.
 // - An instance ID whose address was since registered under another ID has lost its disk. It is removed at once.
-// - A voter that has been silent for `silenceTimeout` is removed when a caught-up learner can replace it, or when the
-//   group has more voters than it needs to lose `toleratedLosses` disks at once. If it returns with its disk, it sends
-//   hellos and is added again.
+// - A voter that has been silent for `silenceTimeout` is removed when the group has more voters than it needs to lose
+//   `toleratedLosses` disks at once. A learner that has caught up is promoted first, so the group never gets smaller
+//   than that. If the silent instance returns with its disk, it sends hellos and is added again.
 #pragma once
 
 #include "cluster/messages.h"
@@ -56,7 +56,7 @@
     bool isCurrent(const ReceivedHello& hello) const { return m_clock.now() - hello.at <= m_options.helloLifetime; }
     bool isSilent(InstanceId) const;
     std::optional<GroupChange> removeRetired(const raft::RaftStatus&, const State&) const;
-    std::optional<GroupChange> replaceSilentOrPromote(const raft::RaftStatus&) const;
+    std::optional<GroupChange> promoteOrRemoveSilent(const raft::RaftStatus&) const;
     std::optional<GroupChange> addLearner(const raft::RaftStatus&, const State&) const;
 
     const GroupOptions m_options;
--- a/libs/cluster/group_faults.cc
+++ b/libs/cluster/group_faults.cc
@@ -46,6 +46,97 @@
     m_instances[index]->start();
 }
 
+void GroupSimulation::runReplacements()
+{
+    constexpr int rounds = 3;
+    awaitRecovery();
+    for (int i = 0; i < rounds && m_violation.empty(); ++i) {
+        replaceAndLoseDisks();
+        repair();
+        awaitRecovery();
+    }
+    m_submitsRequests = false;
+    runFor(detail::settleTime);
+    if (m_violation.empty())
+        checkEnd();
+}
+
+void GroupSimulation::awaitRecovery()
+{
+    constexpr Duration recoveryBound = std::chrono::seconds(15);
+    for (Time end = m_clock.now() + recoveryBound; m_clock.now() < end && m_violation.empty();) {
+        step(false);
+        if (isHealthy())
+            return;
+    }
+    fail("the group has not recovered from replacements and lost disks");
+}
+
+// Some instances freeze, seconds apart and for longer than the silence timeout. They keep their disks, so a group that
+// tolerates the loss of the other disks must recover when all instances are back.
+void GroupSimulation::replaceAndLoseDisks()
+{
+    struct Freeze {
+        size_t instance;
+        Time from;
+        Time to;
+    };
+    auto upToMs = [&](uint64_t ms) { return Duration(std::chrono::milliseconds(m_random.below(ms))); };
+    std::vector<Freeze> freezes;
+    std::vector<size_t> order = shuffledInstances();
+    order.resize(1 + m_random.below(order.size() / 2));
+    Time from = m_clock.now();
+    Time end = from;
+    for (size_t index : order) {
+        from += upToMs(4000);
+        freezes.push_back({ index, from, from + std::chrono::seconds(3) + upToMs(4000) });
+        end = std::max(end, freezes.back().to + std::chrono::seconds(2));
+    }
+    const uint64_t lossAtChange = m_membershipChanges + 1 + m_random.below(5);
+    const Duration lossDelay = upToMs(300); // about the time between two changes
+    const Duration restartDelay = upToMs(2000);
+    std::optional<Time> loss;
+    std::vector<size_t> lost;
+    while (m_clock.now() < end && m_violation.empty()) {
+        step(false);
+        Time now = m_clock.now();
+        for (const Freeze& freeze : freezes)
+            m_instances[freeze.instance]->setFrozen(freeze.from <= now && now < freeze.to);
+        if (!loss && m_membershipChanges >= lossAtChange)
+            loss = now + lossDelay;
+        if (loss && lost.empty() && now >= *loss)
+            lost = loseToleratedDisks();
+        for (size_t index : lost) {
+            if (now >= *loss + restartDelay && !m_instances[index]->isRunning())
+                m_instances[index]->start();
+        }
+    }
+}
+
+// The leader is among them in half of the cases: it knows of changes that others don't. Returns the instances, which
+// don't run.
+std::vector<size_t> GroupSimulation::loseToleratedDisks()
+{
+    std::vector<size_t> order = shuffledInstances();
+    if (m_random.below(2) == 0) {
+        std::stable_partition(order.begin(), order.end(),
+            [&](size_t index) { return m_instances[index]->isUp() && m_instances[index]->core()->status().canRead; });
+    }
+    order.resize(1 + m_random.below(m_toleratedLosses));
+    for (size_t index : order)
+        m_instances[index]->wipe(InstanceId(m_random.next() | 1));
+    m_lostDisks += order.size();
+    return order;
+}
+
+std::vector<size_t> GroupSimulation::shuffledInstances()
+{
+    std::vector<size_t> order;
+    for (size_t i = 0; i < m_instances.size(); ++i)
+        order.insert(order.begin() + static_cast<std::ptrdiff_t>(m_random.below(i + 1)), i);
+    return order;
+}
+
 void GroupSimulation::injectFault()
 {
     size_t index = m_random.below(m_instances.size());
--- a/libs/cluster/group_schedule_test.cc
+++ b/libs/cluster/group_schedule_test.cc
@@ -29,6 +29,7 @@
     std::atomic<uint64_t> members { 0 };
     std::atomic<uint64_t> reads { 0 };
     std::atomic<uint64_t> lostDisks { 0 };
+    std::atomic<uint64_t> membershipChanges { 0 };
     std::mutex mutex;
     std::string failures;
 };
@@ -63,6 +64,21 @@
     totals.failures += "seed " + std::to_string(seed) + ": " + simulation.violation() + "\n";
 }
 
+void runReplacementSchedule(uint64_t seed, Totals& totals)
+{
+    constexpr size_t groupSizes[] = { 4, 5, 6, 8 };
+    size_t instances = groupSizes[seed % 4];
+    GroupSimulation simulation(seed, instances, instances > 5 ? 1 + seed / 4 % 2 : 1);
+    simulation.runReplacements();
+    totals.lostDisks += simulation.lostDisks();
+    totals.membershipChanges += simulation.membershipChanges();
+    totals.acknowledged += simulation.acknowledgedOrders();
+    if (simulation.violation().empty())
+        return;
+    std::lock_guard<std::mutex> lock(totals.mutex);
+    totals.failures += "seed " + std::to_string(seed) + ": " + simulation.violation() + "\n";
+}
+
 using Schedule = void (*)(uint64_t seed, Totals&);
 
 // Returns the number of schedules that were run.
@@ -104,6 +120,20 @@
     CHECK(totals.failures.empty());
 }
 
+// Guards against a group that removes a silent voter before its successor is a voter: the loss of one disk in between
+// ends it.
+TEST_CASE("control groups survive the loss of disks between two membership changes", "[replacements]")
+{
+    Totals totals;
+    if (uint64_t schedules = runSchedules(400, runReplacementSchedule, totals)) {
+        CHECK(totals.lostDisks > 2 * schedules);
+        CHECK(totals.membershipChanges > 10 * schedules);
+        CHECK(totals.acknowledged > 10 * schedules);
+    }
+    INFO(totals.failures.substr(0, 2000));
+    CHECK(totals.failures.empty());
+}
+
 TEST_CASE("control groups accept changes after disks were full one after another", "[disks]")
 {
     Totals totals;
--- a/libs/cluster/group_simulation.cc
+++ b/libs/cluster/group_simulation.cc
@@ -19,8 +19,6 @@
     constexpr size_t smallBytesPerSnapshot = 4 << 10;
     constexpr size_t minPadding = 700;
     constexpr size_t maxPadding = 1700;
-    // Long enough for the last requests to reach all instances before the final checks.
-    constexpr Duration settleTime = std::chrono::seconds(1);
     constexpr uint32_t firstAddress = 0x0A000001;
     constexpr uint16_t peerPort = 7720;
     constexpr uint32_t firstAgent = 0x0B000100;
@@ -30,7 +28,8 @@
 } // namespace
 
 GroupSimulation::GroupSimulation(uint64_t seed, size_t instances, size_t toleratedLosses, bool hasSmallDisks)
-    : m_random(seed)
+    : m_toleratedLosses(toleratedLosses)
+    , m_random(seed)
 {
     constexpr size_t initialVoterCount = 3;
     constexpr uint64_t firstInitialVoterId = 100;
@@ -130,7 +129,7 @@
         step(true);
     repair();
     for (Time end = m_clock.now() + recoveryDuration; m_clock.now() < end && m_violation.empty();) {
-        m_submitsRequests = end - m_clock.now() > settleTime;
+        m_submitsRequests = end - m_clock.now() > detail::settleTime;
         step(false);
     }
     if (m_violation.empty())
@@ -141,10 +140,7 @@
 {
     m_hasLargeChanges = true;
     runFor(m_random.below(2) == 0 ? std::chrono::seconds(3) : std::chrono::seconds(8));
-    std::vector<size_t> order;
-    for (size_t i = 0; i < m_instances.size(); ++i)
-        order.insert(order.begin() + static_cast<std::ptrdiff_t>(m_random.below(i + 1)), i);
-    for (size_t index : order) {
+    for (size_t index : shuffledInstances()) {
         Instance& instance = *m_instances[index];
         Duration length = std::chrono::milliseconds(500 + m_random.below(4000));
         beginDiskFault(instance, m_clock.now() + length);
@@ -170,7 +166,7 @@
     if (m_acknowledged == acknowledged || m_reads == reads)
         fail("no change or read was answered after the last fault");
     m_submitsRequests = false;
-    runFor(settleTime);
+    runFor(detail::settleTime);
     if (m_violation.empty())
         checkEnd();
 }
--- a/libs/cluster/group_simulation.h
+++ b/libs/cluster/group_simulation.h
@@ -25,12 +25,16 @@
     // The disks of all instances are full, refuse, stall or are slow for a few seconds, one after another and never two
     // at once, while changes go on. Within `ackBound` after the last fault a change and a read must be answered.
     void runDiskFaults(Duration ackBound);
+    // Instances freeze for seconds, alone and several at once, so that they are removed and added again. At one of
+    // these membership changes, as many disks are lost as the group tolerates. After each round the group must recover.
+    void runReplacements();
     // The first failed check; empty when all checks passed.
     const std::string& violation() const { return m_violation; }
     uint64_t acknowledgedOrders() const { return m_acknowledged; }
     uint64_t answeredReads() const { return m_reads; }
     uint64_t lostDisks() const { return m_lostDisks; }
     uint64_t diskFaults() const { return m_diskFaults; }
+    uint64_t membershipChanges() const { return m_membershipChanges; }
     uint64_t confirmedMembers() const { return m_confirmedMembers; }
 
 private:
@@ -72,10 +76,15 @@
     bool isCut(size_t a, size_t b) const;
     void repair();
     void loseDisk(size_t index);
+    void replaceAndLoseDisks();
+    std::vector<size_t> loseToleratedDisks();
+    std::vector<size_t> shuffledInstances();
+    void awaitRecovery();
     bool isHealthy() const;
     Endpoint endpointOf(size_t index) const;
     std::optional<size_t> indexOf(Endpoint) const;
 
+    const size_t m_toleratedLosses;
     Random m_random;
     ManualClock m_clock;
     std::vector<std::unique_ptr<Instance>> m_instances;
@@ -100,6 +109,7 @@
     uint64_t m_confirmedMembers = 0;
     uint64_t m_lostDisks = 0;
     uint64_t m_diskFaults = 0;
+    uint64_t m_membershipChanges = 0;
     bool m_hasLargeChanges = false;
     bool m_isRecoveringDisk = false;
     bool m_submitsRequests = true;
--- a/libs/cluster/group_simulation_instance.h
+++ b/libs/cluster/group_simulation_instance.h
@@ -7,6 +7,8 @@
 
 namespace detail {
 
+    // Long enough for the last requests to reach all instances before the final checks.
+    constexpr Duration settleTime = std::chrono::seconds(1);
     constexpr Duration storeReopenInterval = std::chrono::milliseconds(500);
     // A thousandth of the sizes in use, for small disks.
     constexpr uint64_t segmentBytes = 4 << 10;
@@ -102,7 +104,11 @@
         m_pending.push_back({ m_simulation.m_clock.now() + m_diskDelay, batchNumber, batch });
     }
     void answer(RequestNumber request, const Answer& answer) override { m_simulation.onAnswer(request, answer); }
-    void onEvent(ControlEvent, const std::string&, LogIndex) override { }
+    void onEvent(ControlEvent event, const std::string&, LogIndex) override
+    {
+        if (event == ControlEvent::MembershipChanged)
+            ++m_simulation.m_membershipChanges;
+    }
     void stopped() override { }
 
 private:
--- a/libs/raft/raft_schedule_test.cc
+++ b/libs/raft/raft_schedule_test.cc
@@ -218,17 +218,19 @@
             dispatch(instance, SnapshotTaken { instance.state.index, snapshotData(instance.state) });
     }
 
-    // Loses one disk permanently. The next one may be lost only after the leader reports that the group is repaired.
+    // Loses one disk permanently, between any two membership changes and while other instances may be paused, crashed
+    // or behind with their disks. The next one may be lost only after the leader reports that the group is repaired.
     void loseDisk()
     {
         Instance* current = leader();
-        if (!current || !current->raft->canRead() || !current->raft->status().repaired || m_lostInstance)
+        if (!current || !current->raft->canRead() || current->raft->status().hasPendingChange || m_lostInstance)
             return;
         const std::vector<InstanceId>& voters = current->raft->configuration().voters;
         if (voters.size() < 3)
             return;
         m_lostInstance = find(voters[m_random.below(voters.size())]);
         m_isDiskLossPending = false;
+        m_coverage.lossesInChanges += current->raft->status().repaired ? 0 : 1;
         crash(*m_lostInstance);
         m_lostInstance->isDiskLost = true;
         start(addInstance());
@@ -461,15 +463,16 @@
         }
     }
     std::printf("%llu schedules: %llu leaders, %llu committed, %llu snapshots installed, %llu crashes, %llu repairs, "
-                "%llu reads, %llu transfers\n",
+                "%llu losses in changes, %llu reads, %llu transfers\n",
         count, coverage.leaders, coverage.committed, coverage.snapshotsInstalled, coverage.crashes, coverage.repairs,
-        coverage.reads, coverage.transfers);
+        coverage.lossesInChanges, coverage.reads, coverage.transfers);
     if (count >= 100) {
         CHECK(coverage.leaders > 2 * count);
         CHECK(coverage.committed > 20 * count);
         CHECK(coverage.snapshotsInstalled > count);
         CHECK(coverage.crashes > 5 * count);
         CHECK(coverage.repairs > count / 5);
+        CHECK(coverage.lossesInChanges > count / 20);
         CHECK(coverage.reads > 100 * count);
         CHECK(coverage.transfers > count / 10);
     }
--- a/libs/raft/schedule_instance.h
+++ b/libs/raft/schedule_instance.h
@@ -57,6 +57,7 @@
     unsigned long long snapshotsInstalled = 0;
     unsigned long long crashes = 0;
     unsigned long long repairs = 0;
+    unsigned long long lossesInChanges = 0; // of disks, while the group was not repaired
     unsigned long long reads = 0;
     unsigned long long transfers = 0;
 };
