--- a/libs/raft/raft_replication.cc
+++ b/libs/raft/raft_replication.cc
@@ -1,8 +1,8 @@
 // Log replication of class Raft: AppendEntries, commitIndex, snapshots and the leader's lease.
 // The leader first probes a follower with one request at a time until it finds the matchIndex, then pipelines up to
 // maxInflightMessages requests. A follower that needs compacted entries is sent the snapshot in chunks, with a limit of
-// unanswered data. Each heartbeat
-// sends every peer a small message, so that a peer to which large ones don't get through keeps its leader.
+// unanswered data. Each heartbeat sends every peer a small message, so that a peer to which large ones don't get
+// through keeps its leader.
 #include "raft/raft.h"
 
 #include "raft/codec.h"
--- a/libs/steering/entry_steering.cc
+++ b/libs/steering/entry_steering.cc
@@ -1,6 +1,5 @@
-// New flows are offered to members in rendezvous order. Packets of cached flows go directly to their agent. All other
-// flows are searched for (FlowSearches). A caller that retransmits data has had no answer, so its flow is searched for
-// too, starting at the last known agent.
+// Packets of cached flows go directly to their agent. All other flows are searched for (FlowSearches). A caller that
+// retransmits data has had no answer, so its flow is searched for too, starting at the last known agent.
 #include "steering/entry_steering.h"
 
 #include <algorithm>
@@ -9,23 +8,17 @@
 
 namespace {
 
-    // Members that a new flow is offered to. With more, a caller would wait longer than its latency objective.
-    constexpr size_t maxCandidates = 8;
-    // Bounds the list of pending offers. Offers beyond it are not tracked, so they never count as unanswered.
-    constexpr size_t maxPendingOffers = 4096;
     constexpr size_t maxDenied = 4096;
-    constexpr size_t maxOutdatedOffers = 1024; // further ones wait for the caller's next copy
     // A denied flow is dropped from the list when the members are not confirmed within this time. The caller's
     // retransmission starts a new search.
     constexpr Duration confirmationTimeout = std::chrono::seconds(1);
     constexpr uint32_t callerWindowBytes = 1 << 16; // more than a caller sends without an acknowledgement
+    constexpr Duration expiryInterval = std::chrono::seconds(1);
+    constexpr Duration defaultIdleLimit = std::chrono::seconds(15);
 
     // True when both sequence numbers can be of packets that a caller sends at about the same time.
     bool isNear(uint32_t a, uint32_t b) { return a - b + callerWindowBytes < 2 * callerWindowBytes; }
 
-    constexpr Duration expiryInterval = std::chrono::seconds(1);
-    constexpr Duration defaultIdleLimit = std::chrono::seconds(15);
-
 } // namespace
 
 EntrySteering::EntrySteering(EntryOptions options, const PacketFormat& format, const Clock& clock,
@@ -82,64 +75,6 @@
     }
 }
 
-void EntrySteering::onSyn(const FlowPacket& packet, const uint8_t* data, size_t size)
-{
-    offer(packet, m_clock.now(), data, size);
-}
-
-// `arrived` is earlier than now for a SYN that is offered again.
-void EntrySteering::offer(const FlowPacket& packet, Time arrived, const uint8_t* data, size_t size)
-{
-    const Route* route = m_routes.find(packet.flow.service);
-    if (!route) {
-        m_observer.onDecision(Decision::NoRoute, packet.flow, { {}, "no route for the address", m_routes.version() });
-        return;
-    }
-    uint64_t hash = packet.flow.hash();
-    ServiceKey service = route->selectService(hash);
-    std::vector<Endpoint> candidates = m_members.candidatesForNewFlow(hash, service, m_evacuated, maxCandidates);
-    if (candidates.empty() && !m_members.hasMembersOf(service)) {
-        m_observer.onDecision(Decision::Unready, packet.flow, { {}, "no member is known yet", m_routes.version() });
-        return;
-    }
-    if (candidates.empty()) {
-        refuse(packet, "no ready member");
-        return;
-    }
-    // Each retransmission starts at the next member, so that one dead agent does not receive all of them.
-    std::rotate(
-        candidates.begin(), candidates.begin() + packet.synRetransmission % candidates.size(), candidates.end());
-    Frame frame;
-    frame.kind = FrameKind::Offer;
-    frame.shouldCompareLoad = packet.synRetransmission == 0 && candidates.size() > 1;
-    frame.nextPosition = 1;
-    frame.service = service;
-    frame.state = m_state;
-    frame.entry = m_options.self;
-    CachedFlow* cachedFlow = findOrAddFlow(packet.flow);
-    bool isOtherFlow = cachedFlow && !(cachedFlow->hasCallerIsn && cachedFlow->callerIsn == packet.sequence);
-    if (isOtherFlow)
-        startFlow(packet.flow, *cachedFlow, packet.sequence);
-    if (cachedFlow && packet.synRetransmission == 0)
-        cachedFlow->firstSynAt = arrived;
-    if (cachedFlow)
-        cachedFlow->offeredBy = m_state;
-    if (cachedFlow && cachedFlow->agent.port != 0 && !(isOtherFlow && isEvacuated(cachedFlow->agent))) {
-        frame.members.push_back(cachedFlow->agent);
-        frame.shouldCompareLoad = false;
-        // A member that is listed once more is taken for the last resort, see AgentSteering::isLastResort().
-        candidates.erase(std::remove(candidates.begin(), candidates.end(), cachedFlow->agent), candidates.end());
-    }
-    m_searches.cancel(packet.flow);
-    frame.members.insert(frame.members.end(), candidates.begin(), candidates.end());
-    Endpoint second = frame.members.size() > 1 ? frame.members[1] : Endpoint();
-    if (m_offers.size() < maxPendingOffers)
-        m_offers.push_back(
-            { packet.flow, frame.members[0], frame.shouldCompareLoad ? second : Endpoint(), m_clock.now() });
-    send(frame.members[0], frame, data, size);
-    m_observer.onDecision(Decision::Offered, packet.flow, { frame.members[0], "", m_routes.version(), 0, m_state });
-}
-
 void EntrySteering::onNonSyn(const FlowPacket& packet, const uint8_t* data, size_t size)
 {
     CachedFlow* cachedFlow = findOrAddFlow(packet.flow);
@@ -306,67 +241,6 @@
         send(step, *packet, data, size);
 }
 
-// No member of the list accepted the new flow.
-void EntrySteering::onOfferReturned(Endpoint sender, const Frame& frame, const FlowPacket& packet)
-{
-    if (frame.mayAcceptLater) {
-        m_observer.onDecision(
-            Decision::Unready, packet.flow, { sender, "no member can decide yet", m_routes.version() });
-        return;
-    }
-    auto found = m_flows.find(packet.flow);
-    bool isInTime = found != m_flows.end() && m_clock.now() - found->second.firstSynAt < m_options.refusalWindow;
-    if (isInTime)
-        refuse(packet, "no member accepts");
-    else
-        m_observer.onDecision(
-            Decision::Unready, packet.flow, { sender, "another copy may be open", m_routes.version() });
-}
-
-void EntrySteering::onOfferOutdated(
-    Endpoint sender, const Frame& frame, const FlowPacket& packet, const uint8_t* data, size_t size)
-{
-    DecisionInputs inputs { sender, "a member has a newer state", m_routes.version(), 0, m_state, frame.state };
-    if (frame.state == StateIndex() || frame.state > StateIndex(m_state.value() + maxStateLead)) {
-        inputs.reason = "impossible state index";
-        m_observer.onDecision(Decision::Malformed, packet.flow, inputs);
-        return;
-    }
-    m_observer.onDecision(Decision::Outdated, packet.flow, inputs);
-    // The agent has answered.
-    m_offers.erase(std::remove_if(m_offers.begin(), m_offers.end(),
-                       [&](const PendingOffer& offer) { return offer.flow == packet.flow; }),
-        m_offers.end());
-    if (frame.state > m_state)
-        m_output.newerStateSeen(frame.state);
-    auto found = m_flows.find(packet.flow);
-    if (found == m_flows.end() || frame.state <= found->second.offeredBy)
-        return; // each repetition needs a newer state, so their number is bounded
-    Time arrived = packet.synRetransmission == 0 ? found->second.firstSynAt : m_clock.now();
-    if (m_outdatedOffers.size() < maxOutdatedOffers)
-        m_outdatedOffers.push_back({ frame.state, arrived, { data, data + size } });
-    repeatOutdatedOffers();
-}
-
-// Offers the SYNs again whose state has arrived. Those that are too old are left to the caller's next copy.
-void EntrySteering::repeatOutdatedOffers()
-{
-    std::deque<OutdatedOffer> offers;
-    offers.swap(m_outdatedOffers);
-    for (OutdatedOffer& outdated : offers) {
-        if (m_clock.now() - outdated.arrived >= m_options.refusalWindow)
-            continue;
-        if (outdated.needed > m_state) {
-            m_outdatedOffers.push_back(std::move(outdated));
-            continue;
-        }
-        std::optional<FlowPacket> packet
-            = m_format.decode(outdated.bytes.data(), outdated.bytes.size(), Direction::FromCaller);
-        if (packet)
-            offer(*packet, outdated.arrived, outdated.bytes.data(), outdated.bytes.size());
-    }
-}
-
 void EntrySteering::onAllMembersDenied(const FlowPacket& packet, CachedFlow& cachedFlow)
 {
     std::vector<Endpoint> members = m_searches.takeDenials(packet.flow); // the next packet starts a new search
@@ -421,15 +295,6 @@
         m_output.confirmMembers();
 }
 
-// A reset ends the connection attempt immediately, so that the caller can try again within its latency objective. Only
-// the original SYN is answered with a reset: a retransmission may race with a target that accepted an earlier copy.
-void EntrySteering::refuse(const FlowPacket& packet, const char* reason)
-{
-    m_observer.onDecision(Decision::Refused, packet.flow, { {}, reason, m_routes.version() });
-    if (packet.synRetransmission == 0 && isReady())
-        m_output.sendToCaller(packet.flow, m_format.reset(packet.flow, 0));
-}
-
 void EntrySteering::send(Endpoint agent, const Frame& frame, const uint8_t* packet, size_t size)
 {
     encodeFrame(frame, packet, size, m_buffer);
@@ -448,54 +313,6 @@
     return &created;
 }
 
-// The caller opens another flow between the same ends. What is known of the earlier one does not apply to it, but for
-// the agent, which is asked first because the SYN may be a late copy.
-void EntrySteering::startFlow(const FlowId& id, CachedFlow& cachedFlow, uint32_t callerIsn)
-{
-    if (cachedFlow.isAwaitingConfirmation) {
-        m_deniedFlows.erase(std::remove_if(m_deniedFlows.begin(), m_deniedFlows.end(),
-                                [&](const DeniedFlow& denied) { return denied.flow == id; }),
-            m_deniedFlows.end());
-    }
-    Endpoint agent = cachedFlow.agent;
-    cachedFlow = {};
-    cachedFlow.agent = agent;
-    cachedFlow.lastPacket = m_clock.now();
-    cachedFlow.hasCallerIsn = true;
-    cachedFlow.callerIsn = callerIsn;
-}
-
-bool EntrySteering::isEvacuated(Endpoint agent) const
-{
-    const MemberRecord* member = m_members.find(agent);
-    return member && m_evacuated.count(member->dataCentre) != 0;
-}
-
-void EntrySteering::countUnansweredOffer(Endpoint agent)
-{
-    if (agent.port == 0)
-        return;
-    uint8_t& unansweredOffers = m_unansweredOffers[agent];
-    if (++unansweredOffers < m_options.offersUntilSuspected)
-        return;
-    unansweredOffers = m_options.offersUntilSuspected;
-    m_members.markSuspect(agent, m_options.minSuspicionDuration);
-}
-
-void EntrySteering::checkUnansweredOffers()
-{
-    Time now = m_clock.now();
-    while (!m_offers.empty() && now - m_offers.front().sent >= m_options.offerTimeout) {
-        const PendingOffer& offer = m_offers.front();
-        auto found = m_flows.find(offer.flow);
-        if (found == m_flows.end() || found->second.agent.port == 0) {
-            countUnansweredOffer(offer.first);
-            countUnansweredOffer(offer.second);
-        }
-        m_offers.pop_front();
-    }
-}
-
 // Sends packets again whose walks were not answered. Callers would retransmit them only after 200 ms.
 void EntrySteering::retryUnansweredPackets()
 {
--- a/libs/steering/frame.cc
+++ b/libs/steering/frame.cc
@@ -11,15 +11,15 @@
     constexpr size_t fixedHeaderBytes = 23;
     constexpr size_t endpointBytes = 6;
     constexpr uint8_t compareFlag = 1;
-    constexpr uint8_t mayRecoverFlag = 2;
+    constexpr uint8_t mayAcceptLaterFlag = 2;
     constexpr uint8_t uncertainFlag = 4;
-    constexpr uint8_t noTrialFlag = 8;
+    constexpr uint8_t mayNotTryFlag = 8;
     constexpr uint8_t outdatedFlag = 16;
 
     uint8_t flagsOf(const Frame& frame)
     {
-        unsigned flags = (frame.shouldCompareLoad ? compareFlag : 0U) | (frame.mayAcceptLater ? mayRecoverFlag : 0U)
-            | (frame.isUncertain ? uncertainFlag : 0U) | (frame.mayTry ? 0U : noTrialFlag)
+        unsigned flags = (frame.shouldCompareLoad ? compareFlag : 0U) | (frame.mayAcceptLater ? mayAcceptLaterFlag : 0U)
+            | (frame.isUncertain ? uncertainFlag : 0U) | (frame.mayTry ? 0U : mayNotTryFlag)
             | (frame.isOutdated ? outdatedFlag : 0U);
         return static_cast<uint8_t>(flags);
     }
@@ -131,9 +131,9 @@
     frame.kind = static_cast<FrameKind>(kind);
     auto flags = readBigEndian<uint8_t>(at);
     frame.shouldCompareLoad = (flags & compareFlag) != 0;
-    frame.mayAcceptLater = (flags & mayRecoverFlag) != 0;
+    frame.mayAcceptLater = (flags & mayAcceptLaterFlag) != 0;
     frame.isUncertain = (flags & uncertainFlag) != 0;
-    frame.mayTry = (flags & noTrialFlag) == 0;
+    frame.mayTry = (flags & mayNotTryFlag) == 0;
     frame.isOutdated = (flags & outdatedFlag) != 0;
     frame.nextPosition = readBigEndian<uint8_t>(at);
     frame.leastLoadedPosition = readBigEndian<uint8_t>(at);
