--- a/libs/raft/schedule_instance.h
+++ b/libs/raft/schedule_instance.h
@@ -21,10 +21,11 @@
     options.maxProbeBytes = 20; // some proposals are larger
     options.maxMessageEntries = maxMessageEntries;
     options.maxInflightMessages = 3;
+    options.maxInflightSnapshotBytes = 160; // two chunks
     options.maxUncommittedEntries = 12;
     options.retainedEntries = 3;
     options.retainedBytes = 60; // often fewer entries
-    options.retainedBytesForTransfer = 240;
+    options.retainedBytesForFollowers = 240;
     options.maxDeferredMessages = 16;
     return options;
 }
@@ -56,6 +57,7 @@
     unsigned long long snapshotsInstalled = 0;
     unsigned long long crashes = 0;
     unsigned long long repairs = 0;
+    unsigned long long lossesInChanges = 0; // of disks, while the group was not repaired
     unsigned long long reads = 0;
     unsigned long long transfers = 0;
 };
--- a/libs/steering/agent_offers.cc
+++ b/libs/steering/agent_offers.cc
@@ -60,12 +60,11 @@
         m_observer.onDecision(Decision::Repeated, packet.flow, inputs);
         return true;
     }
-    if (known.hasCallerIsn && !known.isOpenedBy(packet))
+    if (known.isOther(packet))
         known.noteOther(packet);
     bool isOpened = known.synForwarded && known.isOpenedBy(packet);
-    bool isPending = known.isOtherPending && packet.sequence == known.otherIsn;
     bool hasTarget = m_registration.state() != TargetState::Departed && !m_registration.isContested();
-    if (!(isOpened || isPending) || known.targetEnded || !hasTarget)
+    if (!isOpened || known.targetEnded || !hasTarget)
         return false;
     known.entryToNotify = frame.entry;
     forwardToTarget(frame, packet.flow, data, size);
@@ -81,7 +80,7 @@
             { frame.entry, "impossible state index", m_routes.version(), 0, m_state, frame.state });
         return;
     }
-    if (frame.state > m_state)
+    if (m_hasState && frame.state > m_state)
         m_output.newerStateSeen(frame.state);
     if (TargetFlow* known = m_flows.find(packet.flow); known && handleCopy(*known, frame, packet, data, size))
         return;
@@ -160,23 +159,25 @@
     m_admission.onSynForwarded(packet.flow);
     m_outliers.onFlowAccepted();
     frame.shouldCompareLoad = false;
-    forwardToTarget(frame, packet.flow, data, size);
-    flow->synMark = m_lastMark;
+    flow->synMark = recordForwarded(frame, packet.flow);
+    sendToTarget(flow->synMark, data, size);
     m_observer.onDecision(
         Decision::Accepted, packet.flow, { frame.entry, "", m_routes.version(), ownLoad, m_state, frame.state });
 }
 
-// The known flow may still be open. The target decides: it answers the SYN if it holds the new flow in its place.
+// The known flow may still be open. The target decides: it answers the SYN if it holds the new flow in its place. Until
+// it does, each copy of the SYN passes the checks again.
 void AgentSteering::offerBeside(TargetFlow& known, Frame& frame, const FlowPacket& packet, uint8_t* data, size_t size)
 {
-    m_admission.onSynForwarded(packet.flow);
-    frame.shouldCompareLoad = false;
-    forwardToTarget(frame, packet.flow, data, size);
     known.noteOther(packet);
+    if (!known.isOtherPending) // otherwise a copy: it was counted
+        m_admission.onSynForwarded(packet.flow);
     known.isOtherPending = true;
-    known.otherSynMark = m_lastMark;
+    frame.shouldCompareLoad = false;
+    known.otherSynMark = recordForwarded(frame, packet.flow);
     known.otherForwarded = m_clock.now();
     known.entryToNotify = frame.entry;
+    sendToTarget(known.otherSynMark, data, size);
     m_observer.onDecision(Decision::Accepted, packet.flow,
         { frame.entry, "beside a known flow", m_routes.version(), load(), m_state, frame.state });
 }
