--- a/cmake/cicadaward.cmake
+++ b/cmake/cicadaward.cmake
@@ -35,3 +35,11 @@
   target_compile_definitions(${name} PRIVATE CICADAWARD_VERSION="${PROJECT_VERSION}")
   target_link_libraries(${name} PRIVATE ${ARG_DEPENDS})
 endfunction()
+
+# cicadaward_program_test(NAME DEPENDS ... PROGRAMS ...): a test that finds its programs in CICADAWARD_PROGRAMS.
+function(cicadaward_program_test name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;PROGRAMS" ${ARGN})
+  cicadaward_test(${name} SOURCES ${ARG_SOURCES} DEPENDS ${ARG_DEPENDS})
+  target_compile_definitions(${name} PRIVATE CICADAWARD_PROGRAMS="${CMAKE_BINARY_DIR}/bin")
+  add_dependencies(${name} ${ARG_PROGRAMS})
+endfunction()
