Test that a newer state named by another process is polled for at once

The review's mutation of Poller::onNewerState() without its poll survived all unit tests. The new case fails with that mutation and passes without it.

--- a/libs/cluster/poller_test.cc
+++ b/libs/cluster/poller_test.cc
@@ -446,3 +446,31 @@
     CHECK(poller.onMessage(peerB, { MessageKind::Controls, "no list" }) == false);
     CHECK(poller.controls().size() == maxControls);
 }
+
+// Guards against a process that learns of a newer state from a denied offer and waits for its next poll.
+TEST_CASE("poller: a newer state that another process names is polled for at once, and once", "[poller]")
+{
+    struct Output final : PollerOutput {
+        void sendMessage(Endpoint, const Envelope& envelope) override { polls += envelope.kind == MessageKind::Poll; }
+        void contactLost() override { }
+        void contactRenewed() override { }
+        int polls = 0;
+    };
+    ManualClock clock;
+    Random random(1);
+    Output output;
+    PollerOptions options;
+    options.seeds = { peerA };
+    Poller poller(options, clock, random, output);
+    PollReply reply;
+    reply.stateIndex = 1;
+    reply.state = encodeMessage(ForwardingState { 1, {}, {} });
+    reply.controls = { peerA };
+    poller.onReply(peerA, reply);
+    int before = output.polls;
+    poller.onNewerState(1);
+    CHECK(output.polls == before);
+    poller.onNewerState(5);
+    poller.onNewerState(5);
+    CHECK(output.polls == before + 1);
+}
