Show resets of open flows by a target that had an earlier flow of their ends

Cause: AgentSteering::denyTried() takes the first reset of a target that was asked for a flow as a denial and erases the flow; the resets that answer the packets behind it find no flow and go to the caller.

--- a/review/standin2.py
+++ b/review/standin2.py
@@ -364,6 +364,13 @@
         if not flow or (not flow["open"] and packet.ack != flow["seq"] + 1 & 0xffffffff):
             self.bounce(packet)
             return
+        if flow.get("ended"):  # a FIN is answered with an ACK, and data with an RST
+            if packet.flags & FIN:
+                self.send(Packet(packet.dst, packet.src, ACK, packet.ack, packet.seq + 1 & 0xffffffff))
+            elif packet.data:
+                self.deployment.record("server", self.id, "answers data of", packet.src[1], "with a reset: ended flow")
+                self.send(Packet(packet.dst, packet.src, RST, packet.ack, packet.seq + len(packet.data) & 0xffffffff))
+            return
         if not flow["open"]:
             flow["open"], flow["next"] = True, flow["seq"] + 1 & 0xffffffff
         if packet.flags & RST:
@@ -371,17 +378,22 @@
             return
         if packet.data and packet.seq == flow["received"]:
             flow["received"] = packet.seq + len(packet.data) & 0xffffffff
+            if packet.data.startswith(b"part "):  # of a body: only its last packet makes it a whole request
+                self.send(Packet(packet.dst, packet.src, ACK, flow["next"], flow["received"]))
+                return
             self.on_request(self, packet)
             self.deployment.record("run", packet.data[:40].decode(), "by", self.id)
             answer = Packet(packet.dst, packet.src, ACK, flow["next"], flow["received"], b"answer to " + packet.data)
             flow["next"] = flow["next"] + len(answer.data) & 0xffffffff
             flow["answer"] = answer
             asyncio.get_running_loop().call_later(self.work_s, self.send, answer)
-        elif packet.data and flow["answer"]:
+        elif packet.data.startswith(b"part "):
+            self.send(Packet(packet.dst, packet.src, ACK, flow["next"], flow["received"]))
+        elif packet.data and flow["answer"] and packet.seq + len(packet.data) & 0xffffffff == flow["received"]:
             self.send(flow["answer"])  # a repeated request: its answer was lost
         if packet.flags & FIN:
             self.send(Packet(packet.dst, packet.src, FIN | ACK, flow["next"], packet.seq + 1 & 0xffffffff))
-            del self.flows[key]
+            flow["ended"] = True
 
 
 class Clients:
@@ -410,10 +422,12 @@
             if flow:
                 flow.handle(packet)
 
-    def flow(self, route):
-        self.port += 1
-        flow = ClientFlow(self, (self.ip, self.port), route)
-        self.flows[self.port] = flow
+    def flow(self, route, port=None):
+        if port is None:
+            self.port += 1
+            port = self.port
+        flow = ClientFlow(self, (self.ip, port), route)
+        self.flows[port] = flow
         return flow
 
 
@@ -424,6 +438,7 @@
         self.next = self.isn + 1 & 0xffffffff
         self.ack = 0
         self.is_open = self.reset = False
+        self.acknowledged = self.next
         self.answers = []
         self.changed = asyncio.Event()
 
@@ -447,6 +462,9 @@
             self.ack = packet.seq + len(packet.data) & 0xffffffff
             self.answers.append(packet.data)
             self.send(ACK, self.next, self.ack)
+        if packet.flags & ACK and not packet.flags & RST and self.is_open:
+            if (packet.ack - self.acknowledged) & 0xffffffff < 1 << 31:
+                self.acknowledged = packet.ack
         self.changed.set()
 
     async def until(self, condition, timeout):
@@ -486,6 +504,31 @@
         self.clients.deployment.record("client", self.end[1], "answered" if answered else "got no answer to", text)
         return answered
 
+    async def upload(self, text, parts, deadline_s=8.0):
+        """A request in `parts` packets of 1,200 bytes and a last one, at most 16 unacknowledged."""
+        count, packets = len(self.answers), []
+        for number in range(parts + 1):
+            data = (b"part %d of " % number + text.encode()).ljust(1200, b".") if number < parts else text.encode()
+            packets.append((self.next, data))
+            self.next = self.next + len(data) & 0xffffffff
+        end, pause, sent = time.monotonic() + deadline_s, 0.2, 0
+        self.clients.deployment.record("client", self.end[1], "sends", text, "in", parts + 1, "packets")
+        while time.monotonic() < end and not self.reset and len(self.answers) <= count:
+            base = self.acknowledged
+            open_packets = [p for p in packets if (p[0] - base) & 0xffffffff < 1 << 31][:16]
+            for seq, data in open_packets:
+                self.send(ACK, seq, self.ack, data)
+            moved = await self.until(lambda: self.reset or len(self.answers) > count or not open_packets
+                                     or (self.acknowledged - open_packets[-1][0]) & 0xffffffff < 1 << 31
+                                     and self.acknowledged != open_packets[-1][0], min(pause, end - time.monotonic()))
+            if not open_packets:
+                await self.until(lambda: self.reset or len(self.answers) > count, min(pause, end - time.monotonic()))
+                self.send(ACK, packets[-1][0], self.ack, packets[-1][1])
+            pause = 0.2 if moved else min(1.6, 2 * pause)
+        answered = len(self.answers) > count and self.answers[count] == b"answer to " + packets[-1][1]
+        self.clients.deployment.record("client", self.end[1], "answered" if answered else "got no answer to", text)
+        return answered
+
     async def close(self):
         self.send(FIN | ACK, self.next, self.ack)
         await asyncio.sleep(0.5)
